--- /dev/null
+++ b/api/src/main/java/io/cranberryarch/api/ApiJson.java
@@ -0,0 +1,18 @@
+package io.cranberryarch.api;
+
+import com.fasterxml.jackson.annotation.JsonInclude;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.SerializationFeature;
+
+/** The conversion of all bodies of the administration interface. */
+public final class ApiJson {
+
+    /** Converts all bodies; unknown fields are rejected. */
+    public static final ObjectMapper MAPPER = new ObjectMapper()
+            .setDefaultPropertyInclusion(JsonInclude.Include.NON_NULL)
+            .enable(SerializationFeature.ORDER_MAP_ENTRIES_BY_KEYS)
+            .enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
+
+    private ApiJson() {}
+}
--- /dev/null
+++ b/api/src/main/java/io/cranberryarch/api/RefusalBody.java
@@ -0,0 +1,11 @@
+package io.cranberryarch.api;
+
+/**
+ * The body of a refusal that a caller receives.
+ *
+ * @param reason a machine-readable reason
+ * @param execution whether the request ran: run, not-run or unknown
+ * @param requestId the identifier of the request
+ * @param retryAfterMs when to come back, in milliseconds, 0 if coming back is of no use
+ */
+public record RefusalBody(String reason, String execution, String requestId, long retryAfterMs) {}
--- /dev/null
+++ b/api/src/main/java/io/cranberryarch/api/package-info.java
@@ -0,0 +1,2 @@
+/** Cranberryarch api: bodies of the administration interface. */
+package io.cranberryarch.api;
--- /dev/null
+++ b/app/src/main/java/io/cranberryarch/app/Main.java
@@ -0,0 +1,74 @@
+package io.cranberryarch.app;
+
+import io.cranberryarch.operator.AccountCommand;
+import io.cranberryarch.operator.ApiFailure;
+import io.cranberryarch.operator.CheckCommand;
+import io.cranberryarch.operator.DrainCommand;
+import io.cranberryarch.operator.ExitCodes;
+import io.cranberryarch.operator.KeyCommand;
+import io.cranberryarch.operator.ReportCommand;
+import io.cranberryarch.operator.RouteCommand;
+import io.cranberryarch.operator.SettingsCommand;
+import io.cranberryarch.operator.StatusCommand;
+import io.cranberryarch.standin.StandinCommand;
+import picocli.AutoComplete;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.HelpCommand;
+import picocli.CommandLine.ParseResult;
+
+/** The root of the command line. */
+@Command(
+        name = "cranberryarch",
+        version = "cranberryarch 0.1.0",
+        description = "Overload control for service call graphs.",
+        mixinStandardHelpOptions = true,
+        subcommands = {
+            NodeCommand.class,
+            CheckCommand.class,
+            SettingsCommand.class,
+            AccountCommand.class,
+            KeyCommand.class,
+            RouteCommand.class,
+            StatusCommand.class,
+            DrainCommand.class,
+            ReportCommand.class,
+            StandinCommand.class,
+            HelpCommand.class,
+            AutoComplete.GenerateCompletion.class
+        })
+public final class Main {
+
+    private Main() {}
+
+    /**
+     * Runs a command and ends the process with its exit code.
+     *
+     * @param arguments the command line
+     */
+    public static void main(String[] arguments) {
+        System.exit(run(arguments));
+    }
+
+    /**
+     * Runs a command.
+     *
+     * @param arguments the command line
+     * @return the exit code, see {@link ExitCodes}
+     */
+    public static int run(String... arguments) {
+        return new CommandLine(new Main())
+                .setExecutionExceptionHandler(Main::onFailure)
+                .execute(arguments);
+    }
+
+    private static int onFailure(Exception failure, CommandLine command, ParseResult unused) {
+        if (failure instanceof ApiFailure refused) {
+            System.err.println("error: " + refused.getMessage());
+            refused.getDetails().forEach(detail -> System.err.println("  " + detail));
+            return refused.getExitCode();
+        }
+        System.err.println("error: " + failure.getMessage());
+        return command.getCommandSpec().exitCodeOnExecutionException();
+    }
+}
--- /dev/null
+++ b/app/src/main/java/io/cranberryarch/app/package-info.java
@@ -0,0 +1,2 @@
+/** The single executable: the root command and the node subcommand. */
+package io.cranberryarch.app;
--- /dev/null
+++ b/base/src/main/java/io/cranberryarch/base/Clock.java
@@ -0,0 +1,39 @@
+package io.cranberryarch.base;
+
+/**
+ * Tells the time in milliseconds.
+ *
+ * <p>Two readings are offered because they serve different needs. Leases, timeouts and rates are judged on
+ * {@link #monotonicMs()}, which never goes back. Values that leave the process, such as the creation time of an
+ * idempotency key, use {@link #wallMs()}.
+ *
+ * <pre>
+ * Clock clock = Clock.system();
+ * long deadlineMs = clock.monotonicMs() + TIMEOUT_MS;
+ * </pre>
+ */
+public interface Clock {
+
+    /**
+     * Gets the elapsed time since an arbitrary origin.
+     *
+     * @return milliseconds that never decrease within one process
+     */
+    long monotonicMs();
+
+    /**
+     * Gets the time of day.
+     *
+     * @return milliseconds since 1970-01-01T00:00Z
+     */
+    long wallMs();
+
+    /**
+     * Gets the clock of the running machine.
+     *
+     * @return the system clock, never {@code null}
+     */
+    static Clock system() {
+        return SystemClock.INSTANCE;
+    }
+}
--- /dev/null
+++ b/base/src/main/java/io/cranberryarch/base/Digests.java
@@ -0,0 +1,90 @@
+package io.cranberryarch.base;
+
+import java.nio.charset.StandardCharsets;
+import java.security.GeneralSecurityException;
+import java.security.MessageDigest;
+import java.security.SecureRandom;
+import java.util.HexFormat;
+import javax.crypto.Mac;
+import javax.crypto.spec.SecretKeySpec;
+
+/**
+ * Cryptographic digests and secrets.
+ *
+ * <pre>
+ * String hash = Digests.toSha256Hex(key);
+ * boolean same = Digests.isEqual(expectedMac, actualMac);
+ * </pre>
+ */
+public final class Digests {
+
+    private static final String HMAC = "HmacSHA256";
+    private static final SecureRandom RANDOM = new SecureRandom();
+
+    private Digests() {}
+
+    /**
+     * Computes a keyed digest.
+     *
+     * @param secret the key, not {@code null} and not empty
+     * @param data the bytes to authenticate, not {@code null}
+     * @return the 32 bytes of HMAC-SHA-256
+     */
+    public static byte[] toHmac(byte[] secret, byte[] data) {
+        try {
+            Mac mac = Mac.getInstance(HMAC);
+            mac.init(new SecretKeySpec(secret, HMAC));
+            return mac.doFinal(data);
+        } catch (GeneralSecurityException e) {
+            throw new IllegalStateException("HMAC-SHA-256 is not available", e);
+        }
+    }
+
+    /**
+     * Computes a digest of text.
+     *
+     * @param text the text, not {@code null}
+     * @return 64 lower-case hexadecimal digits of SHA-256 over the UTF-8 bytes
+     */
+    public static String toSha256Hex(String text) {
+        try {
+            MessageDigest digest = MessageDigest.getInstance("SHA-256");
+            return HexFormat.of().formatHex(digest.digest(text.getBytes(StandardCharsets.UTF_8)));
+        } catch (GeneralSecurityException e) {
+            throw new IllegalStateException("SHA-256 is not available", e);
+        }
+    }
+
+    /**
+     * Compares two byte arrays in constant time.
+     *
+     * @param a the first array, may be {@code null}
+     * @param b the second array, may be {@code null}
+     * @return whether both hold the same bytes
+     */
+    public static boolean isEqual(byte[] a, byte[] b) {
+        return MessageDigest.isEqual(a, b);
+    }
+
+    /**
+     * Draws random bytes fit for secrets.
+     *
+     * @param length the number of bytes, not negative
+     * @return a new array
+     */
+    public static byte[] ofRandom(int length) {
+        byte[] bytes = new byte[length];
+        RANDOM.nextBytes(bytes);
+        return bytes;
+    }
+
+    /**
+     * Draws a random text fit for keys and identifiers.
+     *
+     * @param length the number of random bytes, not negative
+     * @return twice as many lower-case hexadecimal digits
+     */
+    public static String ofRandomHex(int length) {
+        return HexFormat.of().formatHex(ofRandom(length));
+    }
+}
--- /dev/null
+++ b/base/src/main/java/io/cranberryarch/base/SystemClock.java
@@ -0,0 +1,19 @@
+package io.cranberryarch.base;
+
+import java.util.concurrent.TimeUnit;
+
+/** The clock of the running machine. */
+enum SystemClock implements Clock {
+    /** The only instance. */
+    INSTANCE;
+
+    @Override
+    public long monotonicMs() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    }
+
+    @Override
+    public long wallMs() {
+        return System.currentTimeMillis();
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/io/cranberryarch/bench/package-info.java
@@ -0,0 +1,2 @@
+/** Cranberryarch bench: benchmarks and experiments. */
+package io.cranberryarch.bench;
--- /dev/null
+++ b/context/src/main/java/io/cranberryarch/context/RefusalReason.java
@@ -0,0 +1,63 @@
+package io.cranberryarch.context;
+
+import java.util.Locale;
+
+/** Why a request got no answer from its upstream. Each reason knows its HTTP status. */
+public enum RefusalReason {
+    /** The request is malformed. */
+    BAD_REQUEST(400),
+    /** The body ended before its announced length. */
+    BODY_INCOMPLETE(400),
+    /** The body is larger than allowed. */
+    BODY_TOO_LARGE(413),
+    /** The caller or a node gave the request up. */
+    CANCELLED(503),
+    /** The deadline passed. */
+    DEADLINE_EXCEEDED(504),
+    /** The instance is leaving. */
+    DRAINING(503),
+    /** The idempotency key is expired, or an earlier attempt under it has an unknown outcome. */
+    IDEMPOTENCY_UNKNOWN(409),
+    /** An earlier attempt with the same idempotency key still runs. */
+    IDEMPOTENCY_RUNNING(409),
+    /** No key, an unknown key or a withdrawn key. */
+    KEY_REJECTED(401),
+    /** No route matches the path. */
+    NO_ROUTE(404),
+    /** No upstream of the service can be reached. */
+    NO_UPSTREAM(503),
+    /** The upstream or one that it depends on is overloaded. */
+    OVERLOADED(503),
+    /** The connection to the node beside the upstream was lost. */
+    PEER_LOST(502),
+    /** The client account is above its rate. */
+    RATE_EXCEEDED(429),
+    /** The node has not yet learned the current settings. */
+    SETTINGS_UNAVAILABLE(503),
+    /** The upstream failed to answer. */
+    UPSTREAM_FAILED(502);
+
+    private final int status;
+
+    RefusalReason(int status) {
+        this.status = status;
+    }
+
+    /**
+     * Gets the HTTP status.
+     *
+     * @return the status code
+     */
+    public int getStatus() {
+        return status;
+    }
+
+    /**
+     * Gets the name used in bodies and logs.
+     *
+     * @return the lower-case name with hyphens
+     */
+    public String toText() {
+        return name().toLowerCase(Locale.ROOT).replace('_', '-');
+    }
+}
--- /dev/null
+++ b/decision/src/main/java/io/cranberryarch/decision/admission/package-info.java
@@ -0,0 +1,2 @@
+/** Admission of calls in front of an upstream. */
+package io.cranberryarch.decision.admission;
--- /dev/null
+++ b/decision/src/main/java/io/cranberryarch/decision/membership/package-info.java
@@ -0,0 +1,2 @@
+/** Members of the fleet and their states. */
+package io.cranberryarch.decision.membership;
--- /dev/null
+++ b/decision/src/main/java/io/cranberryarch/decision/once/package-info.java
@@ -0,0 +1,2 @@
+/** Execution of non-idempotent calls at most once. */
+package io.cranberryarch.decision.once;
--- /dev/null
+++ b/decision/src/main/java/io/cranberryarch/decision/package-info.java
@@ -0,0 +1,6 @@
+/**
+ * Decisions as deterministic state machines: they take events and the time, and return decisions.
+ *
+ * <p>Nothing below this package uses threads, sockets, clocks, logs or random sources of its own.
+ */
+package io.cranberryarch.decision;
--- /dev/null
+++ b/decision/src/main/java/io/cranberryarch/decision/rate/package-info.java
@@ -0,0 +1,2 @@
+/** Rates and bursts of client accounts. */
+package io.cranberryarch.decision.rate;
--- /dev/null
+++ b/decision/src/main/java/io/cranberryarch/decision/retry/package-info.java
@@ -0,0 +1,2 @@
+/** Budgets for retries. */
+package io.cranberryarch.decision.retry;
--- /dev/null
+++ b/node/src/main/java/io/cranberryarch/node/NodeComponent.java
@@ -0,0 +1,39 @@
+package io.cranberryarch.node;
+
+import dagger.Component;
+import io.cranberryarch.node.call.CallService;
+import io.cranberryarch.node.call.Gate;
+import io.cranberryarch.node.config.SettingsService;
+import io.cranberryarch.node.http.HttpFaces;
+import io.cranberryarch.node.member.MemberService;
+import io.cranberryarch.node.peer.PeerNetwork;
+import io.cranberryarch.node.report.CountsReporter;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import javax.inject.Named;
+import javax.inject.Singleton;
+
+/** Gives the parts that {@link Node} starts and stops. */
+@Singleton
+@Component(modules = NodeModule.class)
+interface NodeComponent {
+
+    CallService calls();
+
+    CountsReporter counts();
+
+    HttpFaces faces();
+
+    Gate gate();
+
+    MemberService members();
+
+    PeerNetwork network();
+
+    SettingsService settings();
+
+    @Named("timer")
+    ScheduledThreadPoolExecutor timer();
+
+    @Named("blocking")
+    ScheduledThreadPoolExecutor blocking();
+}
--- /dev/null
+++ b/node/src/main/java/io/cranberryarch/node/NodeModule.java
@@ -0,0 +1,231 @@
+package io.cranberryarch.node;
+
+import dagger.Module;
+import dagger.Provides;
+import io.cranberryarch.base.Clock;
+import io.cranberryarch.base.Closer;
+import io.cranberryarch.node.call.ActiveCalls;
+import io.cranberryarch.node.call.Admission;
+import io.cranberryarch.node.call.CallService;
+import io.cranberryarch.node.call.Gate;
+import io.cranberryarch.node.call.RateService;
+import io.cranberryarch.node.call.UpstreamClient;
+import io.cranberryarch.node.config.SettingsService;
+import io.cranberryarch.node.http.AdminHandler;
+import io.cranberryarch.node.http.EntryHandler;
+import io.cranberryarch.node.http.HttpFaces;
+import io.cranberryarch.node.http.LocalHandler;
+import io.cranberryarch.node.member.MemberService;
+import io.cranberryarch.node.metrics.NodeMetrics;
+import io.cranberryarch.node.peer.PeerNetwork;
+import io.cranberryarch.node.report.CountsReporter;
+import io.cranberryarch.platform.HttpPlatform;
+import io.cranberryarch.platform.SettingsLog;
+import io.cranberryarch.settings.NodeConfig;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.nio.channels.AsynchronousChannelGroup;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.ThreadFactory;
+import java.util.concurrent.atomic.AtomicInteger;
+import javax.inject.Named;
+import javax.inject.Singleton;
+import org.eclipse.jetty.client.HttpClient;
+
+/** Puts the parts of a node together. */
+@Module
+final class NodeModule {
+
+    private static final int PEER_THREADS = 2;
+    private static final int BLOCKING_THREADS = 4;
+    private static final int MAX_UPSTREAM_CONNECTIONS = 2_048;
+
+    private final NodeConfig config;
+    private final Closer closer;
+
+    NodeModule(NodeConfig config, Closer closer) {
+        this.config = config;
+        this.closer = closer;
+    }
+
+    @Provides
+    @Singleton
+    Clock provideClock() {
+        return Clock.system();
+    }
+
+    @Provides
+    @Singleton
+    NodeIdentity provideIdentity(Clock clock) {
+        return new NodeIdentity(config.instance(), clock.wallMs(), config.zone(), config.service());
+    }
+
+    @Provides
+    @Singleton
+    @Named("timer")
+    ScheduledThreadPoolExecutor provideTimer() {
+        ScheduledThreadPoolExecutor timer = new ScheduledThreadPoolExecutor(1, toFactory("timer"));
+        timer.setRemoveOnCancelPolicy(true);
+        closer.add(timer::shutdownNow);
+        return timer;
+    }
+
+    @Provides
+    @Singleton
+    @Named("blocking")
+    ScheduledThreadPoolExecutor provideBlocking() {
+        ScheduledThreadPoolExecutor blocking = new ScheduledThreadPoolExecutor(BLOCKING_THREADS, toFactory("blocking"));
+        closer.add(blocking::shutdownNow);
+        return blocking;
+    }
+
+    @Provides
+    @Singleton
+    HttpClient provideHttpClient() {
+        HttpClient client = new HttpClient();
+        client.setMaxConnectionsPerDestination(MAX_UPSTREAM_CONNECTIONS);
+        client.setFollowRedirects(false);
+        client.setUserAgentField(null);
+        client.getContentDecoderFactories().clear();
+        closer.add(client::stop);
+        try {
+            client.start();
+        } catch (Exception e) {
+            throw new IllegalStateException("the HTTP client cannot start", e);
+        }
+        return client;
+    }
+
+    @Provides
+    @Singleton
+    HttpPlatform providePlatform(HttpClient client) {
+        return new HttpPlatform(client, config.platform(), config.platformTimeoutMs());
+    }
+
+    @Provides
+    @Singleton
+    PeerNetwork provideNetwork(NodeIdentity identity, Clock clock) {
+        try {
+            AsynchronousChannelGroup group = AsynchronousChannelGroup.withThreadPool(
+                    Executors.newFixedThreadPool(PEER_THREADS, toFactory("peer")));
+            closer.add(group::shutdownNow);
+            InetSocketAddress address = new InetSocketAddress(config.host(), config.peerPort());
+            return closer.add(new PeerNetwork(identity, config.fleetSecret(), clock, group, address));
+        } catch (IOException e) {
+            throw new UncheckedIOException("the port for peers cannot be bound: " + e.getMessage(), e);
+        }
+    }
+
+    @Provides
+    @Singleton
+    SettingsService provideSettings(HttpPlatform platform, PeerNetwork network, Clock clock) {
+        return new SettingsService(new SettingsLog(platform), network, clock);
+    }
+
+    @Provides
+    @Singleton
+    MemberService provideMembers(NodeIdentity identity, PeerNetwork network, SettingsService settings) {
+        try {
+            return new MemberService(
+                    identity, config.host(), network.getPort(), config.slots(), config.seeds(), network, settings);
+        } catch (IOException e) {
+            throw new UncheckedIOException("the port for peers is closed", e);
+        }
+    }
+
+    @Provides
+    @Singleton
+    ActiveCalls provideActiveCalls() {
+        return new ActiveCalls();
+    }
+
+    @Provides
+    @Singleton
+    Admission provideAdmission() {
+        return new Admission(config.slots());
+    }
+
+    @Provides
+    @Singleton
+    Gate provideGate(
+            Clock clock, MemberService members, HttpClient client, ActiveCalls activeCalls, Admission admission) {
+        UpstreamClient upstream = new UpstreamClient(client, config.upstream(), config.maxBodyBytes());
+        return new Gate(clock, members, upstream, activeCalls, admission);
+    }
+
+    @Provides
+    @Singleton
+    CallService provideCalls(
+            Clock clock,
+            MemberService members,
+            PeerNetwork network,
+            Gate gate,
+            @Named("timer") ScheduledThreadPoolExecutor timer) {
+        return new CallService(clock, members, network, gate, timer);
+    }
+
+    @Provides
+    @Singleton
+    RateService provideRates(Clock clock) {
+        return new RateService(clock);
+    }
+
+    @Provides
+    @Singleton
+    NodeMetrics provideMetrics() {
+        return new NodeMetrics();
+    }
+
+    @Provides
+    @Singleton
+    CountsReporter provideCounts(NodeIdentity identity, HttpPlatform platform, Clock clock) {
+        return new CountsReporter(identity, platform, clock);
+    }
+
+    @Provides
+    @Singleton
+    EntryHandler provideEntry(
+            SettingsService settings,
+            RateService rates,
+            CallService calls,
+            NodeMetrics metrics,
+            CountsReporter counts) {
+        return new EntryHandler(settings, rates, calls, metrics, counts, config.maxBodyBytes());
+    }
+
+    @Provides
+    @Singleton
+    LocalHandler provideLocal(
+            SettingsService settings, MemberService members, ActiveCalls activeCalls, CallService calls, Clock clock) {
+        return new LocalHandler(settings, members, activeCalls, calls, clock, config.maxBodyBytes());
+    }
+
+    @Provides
+    @Singleton
+    AdminHandler provideAdmin(
+            SettingsService settings,
+            MemberService members,
+            Gate gate,
+            NodeMetrics metrics,
+            CountsReporter counts,
+            @Named("blocking") ScheduledThreadPoolExecutor blocking) {
+        return new AdminHandler(settings, members, gate, metrics, counts, config.ownerTokenSha256(), blocking);
+    }
+
+    @Provides
+    @Singleton
+    HttpFaces provideFaces(EntryHandler entry, LocalHandler local, AdminHandler admin) {
+        return closer.add(new HttpFaces(config, entry, local, admin));
+    }
+
+    private static ThreadFactory toFactory(String name) {
+        AtomicInteger number = new AtomicInteger();
+        return task -> {
+            Thread thread = new Thread(task, name + "-" + number.incrementAndGet());
+            thread.setDaemon(true);
+            return thread;
+        };
+    }
+}
--- /dev/null
+++ b/node/src/main/java/io/cranberryarch/node/call/ActiveCalls.java
@@ -0,0 +1,42 @@
+package io.cranberryarch.node.call;
+
+import io.cranberryarch.base.Digests;
+import io.cranberryarch.context.CallToken;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+
+/** The calls that the upstream runs now, by the token that it passes on. Thread-safe. */
+public final class ActiveCalls {
+
+    private static final int SECRET_BYTES = 32;
+
+    private final CallToken tokens = new CallToken(Digests.ofRandom(SECRET_BYTES));
+    private final AtomicLong nextId = new AtomicLong(1);
+    private final Map<Long, ActiveCall> calls = new ConcurrentHashMap<>();
+
+    long add(ActiveCall call) {
+        long id = nextId.getAndIncrement();
+        calls.put(id, call);
+        return id;
+    }
+
+    void remove(long id) {
+        calls.remove(id);
+    }
+
+    String toToken(long id) {
+        return tokens.issue(id);
+    }
+
+    /**
+     * Finds the call that a token names.
+     *
+     * @param token the token, not {@code null}
+     * @return the call, or empty if the token is forged or the call ended
+     */
+    public Optional<ActiveCall> find(String token) {
+        return tokens.verify(token).map(calls::get);
+    }
+}
--- /dev/null
+++ b/node/src/main/java/io/cranberryarch/node/call/UpstreamClient.java
@@ -0,0 +1,115 @@
+package io.cranberryarch.node.call;
+
+import io.cranberryarch.context.CallRequest;
+import io.cranberryarch.context.CallResult;
+import io.cranberryarch.context.HeaderField;
+import io.cranberryarch.context.Refusal;
+import io.cranberryarch.context.RefusalReason;
+import io.cranberryarch.context.RequestHeaders;
+import java.net.ConnectException;
+import java.net.URI;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.eclipse.jetty.client.BufferingResponseListener;
+import org.eclipse.jetty.client.BytesRequestContent;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.client.Result;
+import org.eclipse.jetty.http.HttpField;
+
+/** Sends calls to the upstream beside this node over HTTP. Thread-safe. */
+public final class UpstreamClient {
+
+    private static final long RETRY_AFTER_MS = 1_000;
+
+    private final HttpClient client;
+    private final URI address;
+    private final int maxBodyBytes;
+
+    /**
+     * Creates a client.
+     *
+     * @param client a started HTTP client, owned by the caller
+     * @param address the address of the upstream
+     * @param maxBodyBytes the largest body of an answer
+     */
+    public UpstreamClient(HttpClient client, URI address, int maxBodyBytes) {
+        this.client = client;
+        this.address = address;
+        this.maxBodyBytes = maxBodyBytes;
+    }
+
+    /**
+     * Sends a call.
+     *
+     * @param call the call
+     * @param token the token that the upstream passes on with its own calls
+     * @return the upstream's whole answer or a refusal, never a failed future
+     */
+    public CompletableFuture<CallResult> send(CallRequest call, String token) {
+        Request request = client.newRequest(address)
+                .method(call.method())
+                .path(call.target())
+                .timeout(Math.max(1, call.timeoutMs()), TimeUnit.MILLISECONDS);
+        request.headers(headers -> {
+            for (HeaderField header : call.headers()) {
+                headers.add(header.name(), header.value());
+            }
+            headers.put(RequestHeaders.CALL_TOKEN, token);
+            headers.put(RequestHeaders.REQUEST_ID, call.context().requestId());
+            headers.put(RequestHeaders.REQUEST_TIMEOUT, call.timeoutMs());
+            call.context().idempotencyKey().ifPresent(key -> headers.put(RequestHeaders.IDEMPOTENCY_KEY, key));
+        });
+        if (call.body().length > 0) {
+            request.body(new BytesRequestContent(call.body()));
+        }
+        Listener listener = new Listener(maxBodyBytes);
+        request.send(listener);
+        return listener.result;
+    }
+
+    private static CallResult toFailure(Throwable failure) {
+        if (failure instanceof ConnectException) {
+            return refuse(Refusal.ofNotRun(RefusalReason.UPSTREAM_FAILED, RETRY_AFTER_MS));
+        }
+        if (failure instanceof TimeoutException) {
+            return refuse(Refusal.ofUnknown(RefusalReason.DEADLINE_EXCEEDED, RETRY_AFTER_MS));
+        }
+        return refuse(Refusal.ofUnknown(RefusalReason.UPSTREAM_FAILED, RETRY_AFTER_MS));
+    }
+
+    private static CallResult refuse(Refusal refusal) {
+        return CallResult.ofRefusal(refusal, 0, Optional.empty());
+    }
+
+    /** Gathers the whole answer. */
+    private static final class Listener extends BufferingResponseListener {
+
+        private final CompletableFuture<CallResult> result = new CompletableFuture<>();
+
+        Listener(int maxBodyBytes) {
+            super(maxBodyBytes);
+        }
+
+        @Override
+        public void onComplete(Result outcome) {
+            if (outcome.isFailed()) {
+                result.complete(toFailure(outcome.getFailure()));
+                return;
+            }
+            List<HeaderField> headers = new ArrayList<>();
+            for (HttpField field : outcome.getResponse().getHeaders()) {
+                if (RequestHeaders.isForwarded(field.getName())) {
+                    headers.add(new HeaderField(field.getName(), field.getValue()));
+                }
+            }
+            byte[] body = getContent() == null ? new byte[0] : getContent();
+            int status = outcome.getResponse().getStatus();
+            result.complete(new CallResult(status, headers, body, Optional.empty(), 0, Optional.empty()));
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/io/cranberryarch/node/http/AdminHandler.java
@@ -0,0 +1,266 @@
+package io.cranberryarch.node.http;
+
+import static java.nio.charset.StandardCharsets.US_ASCII;
+
+import io.cranberryarch.api.ApiJson;
+import io.cranberryarch.api.ChangeBody;
+import io.cranberryarch.api.ChangeRequest;
+import io.cranberryarch.api.EditBody;
+import io.cranberryarch.api.ErrorBody;
+import io.cranberryarch.api.HistoryBody;
+import io.cranberryarch.api.SettingsBody;
+import io.cranberryarch.api.StatusBody;
+import io.cranberryarch.base.Digests;
+import io.cranberryarch.context.LoadReport;
+import io.cranberryarch.decision.membership.Member;
+import io.cranberryarch.decision.membership.MemberState;
+import io.cranberryarch.node.call.Gate;
+import io.cranberryarch.node.config.SettingsService;
+import io.cranberryarch.node.member.MemberService;
+import io.cranberryarch.node.metrics.NodeMetrics;
+import io.cranberryarch.node.report.CountsReporter;
+import io.cranberryarch.platform.PlatformException;
+import io.cranberryarch.settings.OperatorGrant;
+import io.cranberryarch.settings.SettingChange;
+import io.cranberryarch.settings.SettingEdit;
+import io.cranberryarch.settings.SettingPath;
+import io.cranberryarch.settings.SettingsException;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.Executor;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.Fields;
+
+/** The administration interface for operators, and the metrics for scrapers. */
+public final class AdminHandler extends Handler.Abstract.NonBlocking {
+
+    private static final int MAX_BODY_BYTES = 1024 * 1024;
+
+    private final SettingsService settings;
+    private final MemberService members;
+    private final Gate gate;
+    private final NodeMetrics metrics;
+    private final CountsReporter counts;
+    private final Optional<String> ownerTokenSha256;
+    private final Executor blocking;
+
+    /**
+     * Creates a handler.
+     *
+     * @param settings the shared settings
+     * @param members the members known
+     * @param gate the gate of this node
+     * @param metrics the metrics of this node
+     * @param counts reads the counts of a day
+     * @param ownerTokenSha256 SHA-256 of the owner's token in hexadecimal
+     * @param blocking runs requests that wait for the platform
+     */
+    public AdminHandler(
+            SettingsService settings,
+            MemberService members,
+            Gate gate,
+            NodeMetrics metrics,
+            CountsReporter counts,
+            Optional<String> ownerTokenSha256,
+            Executor blocking) {
+        this.settings = settings;
+        this.members = members;
+        this.gate = gate;
+        this.metrics = metrics;
+        this.counts = counts;
+        this.ownerTokenSha256 = ownerTokenSha256;
+        this.blocking = blocking;
+    }
+
+    @Override
+    public boolean handle(Request request, Response response, Callback callback) {
+        String path = Request.getPathInContext(request);
+        if (path.equals("/metrics")) {
+            HttpAnswers.writeText(response, callback, metrics.toText());
+            return true;
+        }
+        Optional<OperatorGrant> operator = Credentials.toToken(request).flatMap(this::findOperator);
+        if (operator.isEmpty()) {
+            fail(response, callback, 401, "operator-unknown", "a valid operator's token is required");
+            return true;
+        }
+        HttpBodies.read(request, MAX_BODY_BYTES).whenComplete((body, failure) -> {
+            if (failure != null) {
+                fail(response, callback, 400, "bad-request", "the body cannot be read");
+            } else {
+                blocking.execute(() -> answer(path, request, body, operator.get(), response, callback));
+            }
+        });
+        return true;
+    }
+
+    private void answer(
+            String path, Request request, byte[] body, OperatorGrant operator, Response response, Callback callback) {
+        try {
+            Object result =
+                    switch (request.getMethod() + " " + path) {
+                        case "GET /v1/settings" -> readSettings(getParameter(request, "path", "/"), operator);
+                        case "GET /v1/history" -> readHistory(getParameter(request, "path", "/"), operator);
+                        case "POST /v1/settings" -> change(body, operator);
+                        case "GET /v1/status" -> toStatus();
+                        case "POST /v1/drain" -> drain(operator);
+                        case "POST /v1/withdraw" -> withdraw(getParameter(request, "key", ""), operator);
+                        case "GET /v1/counts" -> counts.readDay(getParameter(request, "day", ""));
+                        default -> throw new ApiException(404, "no-such-resource", List.of(path));
+                    };
+            HttpAnswers.writeJson(response, callback, 200, result);
+        } catch (ApiException e) {
+            HttpAnswers.writeJson(response, callback, e.getStatus(), e.getBody());
+        } catch (SettingsException e) {
+            HttpAnswers.writeJson(response, callback, 400, new ErrorBody("invalid-settings", e.getFaults()));
+        } catch (IOException e) {
+            fail(response, callback, 400, "bad-request", String.valueOf(e.getMessage()));
+        } catch (PlatformException e) {
+            fail(response, callback, 503, "platform-unreachable", e.getMessage());
+        }
+    }
+
+    private SettingsBody readSettings(String prefix, OperatorGrant operator) throws ApiException {
+        checkReadable(prefix, operator);
+        return new SettingsBody(
+                settings.getVersion(), new TreeMap<>(settings.getTree().getValues(prefix)));
+    }
+
+    private HistoryBody readHistory(String prefix, OperatorGrant operator) throws ApiException {
+        checkReadable(prefix, operator);
+        List<ChangeBody> changes = new ArrayList<>();
+        for (SettingChange change : settings.getChanges()) {
+            List<EditBody> edits = new ArrayList<>();
+            for (SettingEdit edit : change.edits()) {
+                if (edit.path().isWithin(prefix)) {
+                    edits.add(new EditBody(edit.path().toString(), edit.value().orElse(null)));
+                }
+            }
+            if (!edits.isEmpty()) {
+                changes.add(new ChangeBody(change.version(), change.author(), change.atMs(), edits));
+            }
+        }
+        return new HistoryBody(changes);
+    }
+
+    private ChangeBody change(byte[] body, OperatorGrant operator)
+            throws ApiException, SettingsException, PlatformException, IOException {
+        ChangeRequest request = ApiJson.MAPPER.readValue(body, ChangeRequest.class);
+        if (request.changeId() == null
+                || request.edits() == null
+                || request.edits().isEmpty()) {
+            throw new ApiException(400, "bad-request", List.of("changeId and edits are required"));
+        }
+        List<SettingEdit> edits = new ArrayList<>();
+        Optional<String> team = Optional.empty();
+        for (EditBody edit : request.edits()) {
+            SettingPath path = SettingPath.of(edit.path());
+            if (!operator.isAllowed(path)) {
+                throw new ApiException(403, "not-your-subtree", List.of(path + " belongs to another team"));
+            }
+            if (path.getTeam().isEmpty() || (team.isPresent() && !team.equals(path.getTeam()))) {
+                throw new ApiException(400, "bad-request", List.of("all paths must lie in one team's subtree"));
+            }
+            team = path.getTeam();
+            edits.add(new SettingEdit(path, Optional.ofNullable(edit.value())));
+        }
+        String subtree = "/teams/" + team.orElseThrow();
+        Optional<Long> version =
+                settings.propose(request.changeId(), operator.name(), request.baseVersion(), subtree, edits);
+        if (version.isEmpty()) {
+            throw new ApiException(
+                    409, "conflict", List.of(subtree + " was changed since version " + request.baseVersion()));
+        }
+        members.spread();
+        return new ChangeBody(version.get(), operator.name(), 0, request.edits());
+    }
+
+    private StatusBody toStatus() {
+        Member self = members.getSelf();
+        LoadReport load = gate.getLoad();
+        List<StatusBody.MemberBody> others = new ArrayList<>();
+        for (Member member : members.getMembers()) {
+            others.add(new StatusBody.MemberBody(
+                    member.instance(),
+                    member.zone(),
+                    member.service(),
+                    member.state().name(),
+                    member.host() + ":" + member.peerPort()));
+        }
+        return new StatusBody(
+                self.instance(),
+                self.incarnation(),
+                self.zone(),
+                self.service(),
+                self.state().name(),
+                settings.getVersion(),
+                settings.isPlatformReachable(),
+                load.inFlight(),
+                load.limit(),
+                others);
+    }
+
+    private StatusBody drain(OperatorGrant operator) throws ApiException {
+        requireOwner(operator);
+        members.setState(MemberState.DRAINING);
+        return toStatus();
+    }
+
+    private StatusBody withdraw(String keyId, OperatorGrant operator) throws ApiException {
+        Optional<String> team = settings.getFleet()
+                .getKey(keyId)
+                .flatMap(key -> settings.getFleet().getAccount(key.account()))
+                .map(account -> account.team());
+        if (team.isEmpty()) {
+            throw new ApiException(404, "no-such-key", List.of("key '" + keyId + "' does not exist"));
+        }
+        if (operator.team().isPresent() && !operator.team().equals(team)) {
+            throw new ApiException(403, "not-your-subtree", List.of("the key belongs to another team"));
+        }
+        settings.addWithdrawnKeys(List.of(keyId));
+        members.spread();
+        return toStatus();
+    }
+
+    private static void checkReadable(String prefix, OperatorGrant operator) throws ApiException {
+        if (operator.team().isEmpty()) {
+            return;
+        }
+        String subtree = "/teams/" + operator.team().get();
+        if (!prefix.equals(subtree) && !prefix.startsWith(subtree + "/")) {
+            throw new ApiException(403, "not-your-subtree", List.of(prefix + " belongs to others"));
+        }
+    }
+
+    private static void requireOwner(OperatorGrant operator) throws ApiException {
+        if (operator.team().isPresent()) {
+            throw new ApiException(403, "owner-only", List.of("only the owner may do this"));
+        }
+    }
+
+    private Optional<OperatorGrant> findOperator(String token) {
+        String hash = Digests.toSha256Hex(token);
+        if (ownerTokenSha256.isPresent()
+                && Digests.isEqual(
+                        hash.getBytes(US_ASCII), ownerTokenSha256.get().getBytes(US_ASCII))) {
+            return Optional.of(new OperatorGrant("owner", Optional.empty()));
+        }
+        return settings.getFleet().getOperator(hash);
+    }
+
+    private static String getParameter(Request request, String name, String fallback) {
+        Fields fields = Request.extractQueryParameters(request);
+        String value = fields.getValue(name);
+        return value == null ? fallback : value;
+    }
+
+    private static void fail(Response response, Callback callback, int status, String error, String detail) {
+        HttpAnswers.writeJson(response, callback, status, new ErrorBody(error, List.of(detail)));
+    }
+}
--- /dev/null
+++ b/node/src/main/java/io/cranberryarch/node/http/Credentials.java
@@ -0,0 +1,54 @@
+package io.cranberryarch.node.http;
+
+import io.cranberryarch.base.Digests;
+import io.cranberryarch.context.RequestHeaders;
+import io.cranberryarch.node.config.SettingsService;
+import io.cranberryarch.settings.AccountKey;
+import io.cranberryarch.settings.ClientAccount;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import org.eclipse.jetty.server.Request;
+
+/** Finds the client account whose key came with a request. Thread-safe. */
+final class Credentials {
+
+    private static final String BEARER = "Bearer ";
+    private static final String NO_DIGEST = "0".repeat(64);
+
+    private final SettingsService settings;
+
+    Credentials(SettingsService settings) {
+        this.settings = settings;
+    }
+
+    Optional<ClientAccount> authenticate(Request request) {
+        return toToken(request).flatMap(this::findAccount);
+    }
+
+    static Optional<String> toToken(Request request) {
+        String header = request.getHeaders().get(RequestHeaders.AUTHORIZATION);
+        if (header == null || !header.regionMatches(true, 0, BEARER, 0, BEARER.length())) {
+            return Optional.empty();
+        }
+        return Optional.of(header.substring(BEARER.length()).trim());
+    }
+
+    private Optional<ClientAccount> findAccount(String token) {
+        int dot = token.indexOf('.');
+        if (dot < 1) {
+            return Optional.empty();
+        }
+        String keyId = token.substring(0, dot);
+        Optional<AccountKey> key = settings.getFleet().getKey(keyId);
+        String expected = key.map(AccountKey::secretSha256).orElse(NO_DIGEST);
+        boolean same = Digests.isEqual(toBytes(expected), toBytes(Digests.toSha256Hex(token.substring(dot + 1))));
+        if (!same || key.isEmpty() || settings.isWithdrawn(keyId)) {
+            return Optional.empty();
+        }
+        return settings.getFleet().getAccount(key.get().account());
+    }
+
+    private static byte[] toBytes(String text) {
+        return text.getBytes(StandardCharsets.US_ASCII);
+    }
+}
--- /dev/null
+++ b/node/src/main/java/io/cranberryarch/node/http/EntryHandler.java
@@ -0,0 +1,173 @@
+package io.cranberryarch.node.http;
+
+import io.cranberryarch.base.Digests;
+import io.cranberryarch.context.CallRequest;
+import io.cranberryarch.context.CallResult;
+import io.cranberryarch.context.Refusal;
+import io.cranberryarch.context.RefusalReason;
+import io.cranberryarch.context.RequestContext;
+import io.cranberryarch.context.RequestHeaders;
+import io.cranberryarch.decision.retry.RetryBudget;
+import io.cranberryarch.node.call.CallService;
+import io.cranberryarch.node.call.RateService;
+import io.cranberryarch.node.config.SettingsService;
+import io.cranberryarch.node.metrics.NodeMetrics;
+import io.cranberryarch.node.report.CountsReporter;
+import io.cranberryarch.settings.ClientAccount;
+import io.cranberryarch.settings.Route;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+import org.tinylog.Logger;
+
+/** Takes requests of callers: finds the route, checks the key, charges the rate and sends the call on. */
+public final class EntryHandler extends Handler.Abstract.NonBlocking {
+
+    private static final int REQUEST_ID_BYTES = 8;
+    private static final long SETTINGS_RETRY_AFTER_MS = 1_000;
+
+    private final SettingsService settings;
+    private final Credentials credentials;
+    private final RateService rates;
+    private final CallService calls;
+    private final NodeMetrics metrics;
+    private final CountsReporter counts;
+    private final int maxBodyBytes;
+
+    /**
+     * Creates a handler.
+     *
+     * @param settings the settings in force
+     * @param rates charges the rates of client accounts
+     * @param calls sends calls
+     * @param metrics notes outcomes
+     * @param counts counts outcomes for the report
+     * @param maxBodyBytes the largest body of a request
+     */
+    public EntryHandler(
+            SettingsService settings,
+            RateService rates,
+            CallService calls,
+            NodeMetrics metrics,
+            CountsReporter counts,
+            int maxBodyBytes) {
+        this.settings = settings;
+        this.credentials = new Credentials(settings);
+        this.rates = rates;
+        this.calls = calls;
+        this.metrics = metrics;
+        this.counts = counts;
+        this.maxBodyBytes = maxBodyBytes;
+    }
+
+    @Override
+    public boolean handle(Request request, Response response, Callback callback) {
+        Entry entry = new Entry(request, response, callback);
+        Optional<Refusal> refusal = entry.check();
+        if (refusal.isPresent()) {
+            entry.refuse(refusal.get());
+            return true;
+        }
+        HttpBodies.read(request, maxBodyBytes).whenComplete((body, failure) -> {
+            if (failure != null) {
+                entry.refuse(HttpBodies.toRefusal(failure));
+            } else {
+                entry.send(body);
+            }
+        });
+        return true;
+    }
+
+    /** One request of a caller. */
+    private final class Entry {
+
+        private final Request request;
+        private final Response response;
+        private final Callback callback;
+        private final String requestId = Digests.ofRandomHex(REQUEST_ID_BYTES);
+        private final long startNanos = System.nanoTime();
+        private Optional<Route> route = Optional.empty();
+        private String account = "";
+
+        Entry(Request request, Response response, Callback callback) {
+            this.request = request;
+            this.response = response;
+            this.callback = callback;
+        }
+
+        Optional<Refusal> check() {
+            if (!settings.isReady()) {
+                return Optional.of(Refusal.ofNotRun(RefusalReason.SETTINGS_UNAVAILABLE, SETTINGS_RETRY_AFTER_MS));
+            }
+            route = settings.getFleet().findRoute(Request.getPathInContext(request));
+            if (route.isEmpty()) {
+                return Optional.of(Refusal.ofNotRun(RefusalReason.NO_ROUTE, 0));
+            }
+            Optional<Refusal> tooLarge = HttpBodies.checkLength(request, maxBodyBytes);
+            if (tooLarge.isPresent()) {
+                return tooLarge;
+            }
+            return route.get().open() ? Optional.empty() : checkAccount();
+        }
+
+        private Optional<Refusal> checkAccount() {
+            Optional<ClientAccount> found = credentials.authenticate(request);
+            if (found.isEmpty()) {
+                return Optional.of(Refusal.ofNotRun(RefusalReason.KEY_REJECTED, 0));
+            }
+            account = found.get().name();
+            return rates.charge(found.get());
+        }
+
+        void send(byte[] body) {
+            Route target = route.orElseThrow();
+            Optional<String> key = Optional.ofNullable(request.getHeaders().get(RequestHeaders.IDEMPOTENCY_KEY));
+            RequestContext context = new RequestContext(
+                    requestId, account, target.kind(), target.priority(), target.idempotent(), key, 0);
+            CallRequest call = new CallRequest(
+                    context,
+                    target.service(),
+                    toTimeoutMs(target),
+                    RetryBudget.ROOT_TOKENS,
+                    request.getMethod(),
+                    request.getHttpURI().getPathQuery(),
+                    HttpBodies.toForwarded(request),
+                    body);
+            calls.send(call).whenComplete((result, failure) -> {
+                if (failure != null) {
+                    Logger.error(failure, "request-failed request={}", requestId);
+                    refuse(Refusal.ofUnknown(RefusalReason.UPSTREAM_FAILED, SETTINGS_RETRY_AFTER_MS));
+                } else {
+                    finish(result);
+                }
+            });
+        }
+
+        void refuse(Refusal refusal) {
+            finish(CallResult.ofRefusal(refusal, 0, Optional.empty()));
+        }
+
+        private void finish(CallResult result) {
+            String outcome = result.refusal()
+                    .map(refusal -> refusal.reason().toText())
+                    .orElse(result.status() < 500 ? "ok" : "upstream-error");
+            String kind = route.map(Route::kind).orElse("none");
+            long micros = TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - startNanos);
+            metrics.record(account, kind, outcome, micros);
+            counts.record(account, kind, outcome);
+            Logger.debug("request request={} account={} class={} outcome={}", requestId, account, kind, outcome);
+            HttpAnswers.write(response, callback, result, requestId);
+        }
+
+        private long toTimeoutMs(Route target) {
+            String header = request.getHeaders().get(RequestHeaders.REQUEST_TIMEOUT);
+            if (header == null || !header.matches("\\d{1,9}")) {
+                return target.timeoutMs();
+            }
+            return Math.min(target.timeoutMs(), Long.parseLong(header));
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/io/cranberryarch/node/http/HttpFaces.java
@@ -0,0 +1,114 @@
+package io.cranberryarch.node.http;
+
+import io.cranberryarch.settings.NodeConfig;
+import java.util.Map;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.HttpConfiguration;
+import org.eclipse.jetty.server.HttpConnectionFactory;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+
+/** The HTTP server with one port for each face of the node. */
+public final class HttpFaces implements AutoCloseable {
+
+    private static final String ENTRY = "entry";
+    private static final String LOCAL = "local";
+    private static final String ADMIN = "admin";
+    private static final int MAX_THREADS = 32;
+    private static final int MIN_THREADS = 4;
+
+    private final Server server;
+    private final ServerConnector entry;
+    private final ServerConnector local;
+    private final ServerConnector admin;
+
+    /**
+     * Creates a server that is not started.
+     *
+     * @param config addresses and ports
+     * @param entryHandler takes callers' requests
+     * @param localHandler takes the upstream's requests
+     * @param adminHandler takes operators' requests
+     */
+    public HttpFaces(NodeConfig config, Handler entryHandler, Handler localHandler, Handler adminHandler) {
+        QueuedThreadPool threads = new QueuedThreadPool(MAX_THREADS, MIN_THREADS);
+        threads.setName("http");
+        server = new Server(threads);
+        entry = addConnector(ENTRY, config.host(), config.entryPort());
+        local = addConnector(LOCAL, config.host(), config.localPort());
+        admin = addConnector(ADMIN, config.host(), config.adminPort());
+        server.setHandler(new FaceHandler(Map.of(ENTRY, entryHandler, LOCAL, localHandler, ADMIN, adminHandler)));
+    }
+
+    /**
+     * Starts the server.
+     *
+     * @throws Exception if a port cannot be bound
+     */
+    public void start() throws Exception {
+        server.start();
+    }
+
+    /**
+     * Gets the port for callers.
+     *
+     * @return the bound port
+     */
+    public int getEntryPort() {
+        return entry.getLocalPort();
+    }
+
+    /**
+     * Gets the port for the upstream.
+     *
+     * @return the bound port
+     */
+    public int getLocalPort() {
+        return local.getLocalPort();
+    }
+
+    /**
+     * Gets the port for operators.
+     *
+     * @return the bound port
+     */
+    public int getAdminPort() {
+        return admin.getLocalPort();
+    }
+
+    @Override
+    public void close() throws Exception {
+        server.stop();
+    }
+
+    private ServerConnector addConnector(String name, String host, int port) {
+        HttpConfiguration http = new HttpConfiguration();
+        http.setSendServerVersion(false);
+        ServerConnector connector = new ServerConnector(server, 1, 1, new HttpConnectionFactory(http));
+        connector.setName(name);
+        connector.setHost(host);
+        connector.setPort(port);
+        server.addConnector(connector);
+        return connector;
+    }
+
+    /** Passes each request to the handler of its port. */
+    private static final class FaceHandler extends Handler.Abstract.NonBlocking {
+
+        private final Map<String, Handler> handlers;
+
+        FaceHandler(Map<String, Handler> handlers) {
+            this.handlers = Map.copyOf(handlers);
+        }
+
+        @Override
+        public boolean handle(Request request, Response response, Callback callback) throws Exception {
+            String name = request.getConnectionMetaData().getConnector().getName();
+            return handlers.get(name).handle(request, response, callback);
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/io/cranberryarch/node/member/package-info.java
@@ -0,0 +1,2 @@
+/** The exchange of members between nodes. */
+package io.cranberryarch.node.member;
--- /dev/null
+++ b/node/src/main/java/io/cranberryarch/node/metrics/package-info.java
@@ -0,0 +1,2 @@
+/** Metrics of this node for scrapers and operators. */
+package io.cranberryarch.node.metrics;
--- /dev/null
+++ b/node/src/main/java/io/cranberryarch/node/peer/PeerConnection.java
@@ -0,0 +1,291 @@
+package io.cranberryarch.node.peer;
+
+import io.cranberryarch.base.Clock;
+import io.cranberryarch.wire.Frame;
+import io.cranberryarch.wire.FrameCodec;
+import io.cranberryarch.wire.HelloMessage;
+import io.cranberryarch.wire.MalformedFrameException;
+import io.cranberryarch.wire.Message;
+import io.cranberryarch.wire.PingMessage;
+import io.cranberryarch.wire.ProofMessage;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.AsynchronousSocketChannel;
+import java.nio.channels.CompletionHandler;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
+import org.tinylog.Logger;
+
+/**
+ * One authenticated connection to a peer, on which many requests wait for their answers at once.
+ *
+ * <p>Thread-safe. A frame that cannot be read closes this connection and no other.
+ */
+public final class PeerConnection implements AutoCloseable {
+
+    /** The longest time for a handshake, in milliseconds. */
+    static final long HANDSHAKE_TIMEOUT_MS = 2_000;
+    /** The silence after which a ping is sent, in milliseconds. */
+    static final long PING_AFTER_MS = 500;
+    /** The silence after which a connection is closed, in milliseconds. */
+    static final long SILENCE_TIMEOUT_MS = 2_000;
+
+    private static final int READ_BUFFER_BYTES = 16 * 1024;
+
+    private final AsynchronousSocketChannel channel;
+    private final Handshake handshake;
+    private final PeerHandler handler;
+    private final Clock clock;
+    private final FrameWriter writer;
+    private final CompletableFuture<PeerConnection> ready = new CompletableFuture<>();
+    private final Map<Long, CompletableFuture<Message>> pending = new ConcurrentHashMap<>();
+    private final AtomicLong nextId = new AtomicLong(1);
+    private final AtomicBoolean closed = new AtomicBoolean();
+    private final long openedAtMs;
+    private volatile long heardAtMs;
+    private ByteBuffer input = ByteBuffer.allocate(READ_BUFFER_BYTES);
+
+    PeerConnection(AsynchronousSocketChannel channel, Handshake handshake, PeerHandler handler, Clock clock) {
+        this.channel = channel;
+        this.handshake = handshake;
+        this.handler = handler;
+        this.clock = clock;
+        this.writer = new FrameWriter(channel, this::onFailure);
+        this.openedAtMs = clock.monotonicMs();
+        this.heardAtMs = openedAtMs;
+    }
+
+    void start() {
+        send(0, handshake.getOwnHello());
+        read();
+    }
+
+    /**
+     * Gets the moment when the peer has proved itself.
+     *
+     * @return completes with this connection, or fails if the connection was closed before
+     */
+    public CompletableFuture<PeerConnection> whenReady() {
+        return ready;
+    }
+
+    /**
+     * Checks whether the connection can be used.
+     *
+     * @return whether the peer has proved itself and the connection is open
+     */
+    public boolean isOpen() {
+        return ready.isDone() && !ready.isCompletedExceptionally() && !closed.get();
+    }
+
+    /**
+     * Gets the name of the peer.
+     *
+     * @return the instance that the peer proved to be part of the fleet, "unknown" before
+     */
+    public String getPeerInstance() {
+        HelloMessage hello = handshake.getPeerHello();
+        return hello == null ? "unknown" : hello.instance();
+    }
+
+    /**
+     * Gets the incarnation of the peer's process.
+     *
+     * @return the incarnation, 0 before the peer has introduced itself
+     */
+    public long getPeerIncarnation() {
+        HelloMessage hello = handshake.getPeerHello();
+        return hello == null ? 0 : hello.incarnation();
+    }
+
+    /**
+     * Sends a request.
+     *
+     * @param message the request, not {@code null}
+     * @return the number of the request and its answer, which fails with {@link PeerLostException}
+     */
+    public PendingRequest request(Message message) {
+        long id = nextId.getAndIncrement();
+        CompletableFuture<Message> answer = new CompletableFuture<>();
+        if (!isOpen()) {
+            answer.completeExceptionally(new PeerLostException("the connection is closed", false));
+            return new PendingRequest(id, answer);
+        }
+        pending.put(id, answer);
+        send(id, message);
+        if (closed.get() && pending.remove(id) != null) {
+            answer.completeExceptionally(new PeerLostException("the connection was closed", true));
+        }
+        return new PendingRequest(id, answer);
+    }
+
+    /**
+     * Drops a request. A late answer to it is ignored.
+     *
+     * @param id the number of the request
+     */
+    public void forget(long id) {
+        pending.remove(id);
+    }
+
+    /**
+     * Sends a message.
+     *
+     * @param id the number of the request that it belongs to, 0 for none
+     * @param message the message, not {@code null}
+     */
+    public void send(long id, Message message) {
+        try {
+            writer.write(FrameCodec.encode(new Frame(id, message)));
+        } catch (IOException e) {
+            onFailure(e);
+        }
+    }
+
+    /**
+     * Keeps the connection alive, or closes it after silence.
+     *
+     * @param nowMs monotonic time in milliseconds
+     */
+    void tick(long nowMs) {
+        long silenceMs = nowMs - heardAtMs;
+        if (!ready.isDone()) {
+            if (nowMs - openedAtMs > HANDSHAKE_TIMEOUT_MS) {
+                close("the handshake took too long");
+            }
+        } else if (silenceMs > SILENCE_TIMEOUT_MS) {
+            close("the peer was silent for " + silenceMs + " ms");
+        } else if (silenceMs > PING_AFTER_MS) {
+            send(0, new PingMessage(false));
+        }
+    }
+
+    @Override
+    public void close() {
+        close("closed by this node");
+    }
+
+    boolean isClosed() {
+        return closed.get();
+    }
+
+    private void close(String reason) {
+        if (!closed.compareAndSet(false, true)) {
+            return;
+        }
+        Logger.debug("peer-closed peer={} reason=\"{}\"", getPeerInstance(), reason);
+        try {
+            channel.close();
+        } catch (IOException e) {
+            Logger.debug("peer-close-failed reason=\"{}\"", e.getMessage());
+        }
+        ready.completeExceptionally(new PeerLostException(reason, false));
+        for (Long id : pending.keySet()) {
+            CompletableFuture<Message> answer = pending.remove(id);
+            if (answer != null) {
+                answer.completeExceptionally(new PeerLostException(reason, true));
+            }
+        }
+    }
+
+    private void onFailure(Throwable failure) {
+        if (failure instanceof MalformedFrameException) {
+            Logger.warn("frame-malformed peer={} reason=\"{}\"", getPeerInstance(), failure.getMessage());
+        }
+        close(String.valueOf(failure.getMessage()));
+    }
+
+    private void read() {
+        channel.read(input, null, new ReadHandler());
+    }
+
+    private void onRead(int count) {
+        if (count < 0) {
+            close("the peer closed the connection");
+            return;
+        }
+        heardAtMs = clock.monotonicMs();
+        input.flip();
+        try {
+            for (Optional<Frame> frame = FrameCodec.decode(input);
+                    frame.isPresent();
+                    frame = FrameCodec.decode(input)) {
+                onFrame(frame.get());
+            }
+        } catch (MalformedFrameException e) {
+            onFailure(e);
+            return;
+        }
+        makeRoom();
+        read();
+    }
+
+    private void makeRoom() {
+        int length = input.remaining() < FrameCodec.LENGTH_BYTES ? 0 : input.getInt(input.position());
+        int wanted = Math.max(READ_BUFFER_BYTES, length + FrameCodec.LENGTH_BYTES);
+        if (wanted == input.capacity()) {
+            input.compact();
+            return;
+        }
+        input = ByteBuffer.allocate(wanted).put(input);
+    }
+
+    private void onFrame(Frame frame) throws MalformedFrameException {
+        Message message = frame.message();
+        switch (message.getType()) {
+            case HELLO -> send(0, handshake.onHello((HelloMessage) message));
+            case PROOF -> {
+                handshake.onProof((ProofMessage) message);
+                ready.complete(this);
+            }
+            default -> onAuthenticated(frame);
+        }
+    }
+
+    private void onAuthenticated(Frame frame) throws MalformedFrameException {
+        if (!ready.isDone()) {
+            throw new MalformedFrameException(frame.message().getType() + " before the proof");
+        }
+        switch (frame.message().getType()) {
+            case PING -> send(0, new PingMessage(true));
+            case PONG -> {
+                // The time of the last sign of life was noted already.
+            }
+            case ANSWER, GOSSIP_ANSWER, SETTINGS_PUSH -> onAnswer(frame);
+            default -> handler.onFrame(this, frame);
+        }
+    }
+
+    private void onAnswer(Frame frame) {
+        CompletableFuture<Message> answer = pending.remove(frame.id());
+        if (answer != null) {
+            answer.complete(frame.message());
+        }
+    }
+
+    /**
+     * A request that waits for its answer.
+     *
+     * @param id the number of the request
+     * @param answer the answer
+     */
+    public record PendingRequest(long id, CompletableFuture<Message> answer) {}
+
+    /** Continues after each read. */
+    private final class ReadHandler implements CompletionHandler<Integer, Void> {
+
+        @Override
+        public void completed(Integer count, Void unused) {
+            onRead(count);
+        }
+
+        @Override
+        public void failed(Throwable failure, Void unused) {
+            onFailure(failure);
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/io/cranberryarch/node/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Authenticated connections between nodes. */
+package io.cranberryarch.node.peer;
--- /dev/null
+++ b/node/src/main/java/io/cranberryarch/node/report/package-info.java
@@ -0,0 +1,2 @@
+/** Counts of outcomes on their way to the object store. */
+package io.cranberryarch.node.report;
--- /dev/null
+++ b/operator/src/main/java/io/cranberryarch/operator/ApiFailure.java
@@ -0,0 +1,36 @@
+package io.cranberryarch.operator;
+
+import java.util.List;
+
+/** Thrown when a node refuses a request of an operator, or cannot be reached. */
+public final class ApiFailure extends Exception {
+
+    private static final long serialVersionUID = 1L;
+
+    private final int exitCode;
+    private final List<String> details;
+
+    ApiFailure(int exitCode, String reason, List<String> details) {
+        super(reason);
+        this.exitCode = exitCode;
+        this.details = List.copyOf(details);
+    }
+
+    /**
+     * Gets the exit code for the command line.
+     *
+     * @return the exit code
+     */
+    public int getExitCode() {
+        return exitCode;
+    }
+
+    /**
+     * Gets what was wrong.
+     *
+     * @return one sentence for each fault
+     */
+    public List<String> getDetails() {
+        return details;
+    }
+}
--- /dev/null
+++ b/operator/src/main/java/io/cranberryarch/operator/KeyCommand.java
@@ -0,0 +1,55 @@
+package io.cranberryarch.operator;
+
+import io.cranberryarch.api.EditBody;
+import io.cranberryarch.base.Digests;
+import java.util.List;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+/** Issues and withdraws keys of client accounts. */
+@Command(name = "key", description = "Issues and withdraws keys of client accounts.")
+public final class KeyCommand {
+
+    private static final int ID_BYTES = 6;
+    private static final int SECRET_BYTES = 24;
+
+    @Command(name = "issue", description = "Issues a key and prints it. It is shown only once.")
+    int issue(
+            @Mixin NodeOptions node,
+            @Option(names = "--team", required = true, description = "the team of the account") String team,
+            @Parameters(paramLabel = "ACCOUNT") String account)
+            throws ApiFailure {
+        String id = "k" + Digests.ofRandomHex(ID_BYTES);
+        String secret = Digests.ofRandomHex(SECRET_BYTES);
+        try (AdminClient client = node.connect()) {
+            String path = "/teams/" + team + "/keys/" + id;
+            client.change(
+                    client.readStatus().settingsVersion(),
+                    List.of(
+                            new EditBody(path + "/account", account),
+                            new EditBody(path + "/sha256", Digests.toSha256Hex(secret))));
+            System.out.println(id + "." + secret);
+            return ExitCodes.OK;
+        }
+    }
+
+    @Command(name = "withdraw", description = "Withdraws a key for good, also while the platform is down.")
+    int withdraw(
+            @Mixin NodeOptions node,
+            @Option(names = "--team", required = true, description = "the team of the account") String team,
+            @Parameters(paramLabel = "KEY_ID") String keyId)
+            throws ApiFailure {
+        try (AdminClient client = node.connect()) {
+            client.withdraw(keyId);
+            System.out.println("withdrawn");
+            String path = "/teams/" + team + "/keys/" + keyId;
+            client.change(
+                    client.readStatus().settingsVersion(),
+                    List.of(new EditBody(path + "/account", null), new EditBody(path + "/sha256", null)));
+            System.out.println("stored");
+            return ExitCodes.OK;
+        }
+    }
+}
--- /dev/null
+++ b/settings/src/main/java/io/cranberryarch/settings/IniFile.java
@@ -0,0 +1,294 @@
+package io.cranberryarch.settings;
+
+import java.io.IOException;
+import java.io.StringReader;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.apache.commons.configuration2.INIConfiguration;
+import org.apache.commons.configuration2.SubnodeConfiguration;
+import org.apache.commons.configuration2.ex.ConfigurationException;
+
+/**
+ * An INI file whose values are taken one by one; faults are gathered and thrown together.
+ *
+ * <pre>
+ * IniFile ini = IniFile.read(file);
+ * int port = ini.takeInt("listen", "entry-port", Optional.empty(), 0, 65535);
+ * ini.rejectUnknown();
+ * ini.throwFaults();
+ * </pre>
+ */
+public final class IniFile {
+
+    private static final URI NO_URI = URI.create("http://127.0.0.1");
+
+    private final Path file;
+    private final List<String> lines;
+    private final INIConfiguration ini;
+    private final Set<String> taken = new HashSet<>();
+    private final List<String> faults = new ArrayList<>();
+
+    private IniFile(Path file, List<String> lines, INIConfiguration ini) {
+        this.file = file;
+        this.lines = lines;
+        this.ini = ini;
+    }
+
+    /**
+     * Reads a file.
+     *
+     * @param file the file, not {@code null}
+     * @return the values, not yet validated
+     * @throws IOException if the file cannot be read
+     * @throws SettingsException if the file is not INI
+     */
+    public static IniFile read(Path file) throws IOException, SettingsException {
+        List<String> lines = Files.readAllLines(file, StandardCharsets.UTF_8);
+        INIConfiguration ini = new INIConfiguration();
+        try {
+            ini.read(new StringReader(String.join("\n", lines)));
+        } catch (ConfigurationException e) {
+            throw new SettingsException(List.of(file + ": not an INI file: " + e.getMessage()));
+        }
+        return new IniFile(file, lines, ini);
+    }
+
+    /**
+     * Takes a text.
+     *
+     * @param section the section
+     * @param key the key
+     * @param fallback the value if none is set, or empty if the key is required
+     * @param pattern the regular expression that the whole value must match
+     * @return the value; meaningless after a fault
+     */
+    public String takeText(String section, String key, Optional<String> fallback, String pattern) {
+        Optional<String> value = find(section, key);
+        if (value.isEmpty() && fallback.isEmpty()) {
+            addFault(section, key, "a value, the key is required");
+        }
+        String text = value.or(() -> fallback).orElse("");
+        if (value.isPresent() && !text.matches(pattern)) {
+            addFault(section, key, "text matching " + pattern);
+        }
+        return text;
+    }
+
+    /**
+     * Takes a text that may be absent.
+     *
+     * @param section the section
+     * @param key the key
+     * @param pattern the regular expression that the whole value must match
+     * @return the value, or empty
+     */
+    public Optional<String> takeOptional(String section, String key, String pattern) {
+        String text = takeText(section, key, Optional.of(""), pattern);
+        return text.isEmpty() ? Optional.empty() : Optional.of(text);
+    }
+
+    /**
+     * Takes one of several names.
+     *
+     * @param section the section
+     * @param key the key
+     * @param fallback the value if none is set
+     * @param choices the allowed values
+     * @return the value; meaningless after a fault
+     */
+    public String takeChoice(String section, String key, String fallback, List<String> choices) {
+        String text = find(section, key).orElse(fallback);
+        if (!choices.contains(text)) {
+            addFault(section, key, "one of " + choices);
+        }
+        return text;
+    }
+
+    /**
+     * Takes a whole number.
+     *
+     * @param section the section
+     * @param key the key
+     * @param fallback the value if none is set, or empty if the key is required
+     * @param min the least allowed value
+     * @param max the greatest allowed value
+     * @return the value; meaningless after a fault
+     */
+    public int takeInt(String section, String key, Optional<Integer> fallback, int min, int max) {
+        String text = takeText(section, key, fallback.map(String::valueOf), ".*");
+        if (text.isEmpty()) {
+            return min;
+        }
+        try {
+            int value = Integer.parseInt(text);
+            if (value >= min && value <= max) {
+                return value;
+            }
+        } catch (NumberFormatException e) {
+            // Reported below together with numbers out of range.
+        }
+        addFault(section, key, "a whole number from " + min + " to " + max);
+        return min;
+    }
+
+    /**
+     * Takes an HTTP address.
+     *
+     * @param section the section
+     * @param key the key
+     * @return the value; meaningless after a fault
+     */
+    public URI takeUri(String section, String key) {
+        String text = takeText(section, key, Optional.empty(), "https?://[^ ]+");
+        try {
+            return text.isEmpty() ? NO_URI : URI.create(text);
+        } catch (IllegalArgumentException e) {
+            addFault(section, key, "an http address");
+            return NO_URI;
+        }
+    }
+
+    /**
+     * Takes a list of names separated by commas.
+     *
+     * @param section the section
+     * @param key the key
+     * @param pattern the regular expression that each name must match
+     * @return the names, not empty unless there is a fault
+     */
+    public List<String> takeNames(String section, String key, String pattern) {
+        List<String> names = toList(takeText(section, key, Optional.empty(), ".*"));
+        for (String name : names) {
+            if (!name.matches(pattern)) {
+                addFault(section, key, "names matching " + pattern + " separated by commas");
+            }
+        }
+        return names;
+    }
+
+    /**
+     * Takes a list of addresses {@code host:port} separated by commas.
+     *
+     * @param section the section
+     * @param key the key
+     * @return the addresses, may be empty
+     */
+    public List<InetSocketAddress> takeAddresses(String section, String key) {
+        List<InetSocketAddress> addresses = new ArrayList<>();
+        for (String text : toList(takeText(section, key, Optional.of(""), ".*"))) {
+            Optional<InetSocketAddress> address = toAddress(text);
+            if (address.isEmpty()) {
+                addFault(section, key, "addresses IP:PORT separated by commas");
+            }
+            address.ifPresent(addresses::add);
+        }
+        return addresses;
+    }
+
+    /**
+     * Parses an address.
+     *
+     * @param text {@code IP:PORT}, not {@code null}
+     * @return the address, or empty if the text is none
+     */
+    public static Optional<InetSocketAddress> toAddress(String text) {
+        int colon = text.lastIndexOf(':');
+        if (colon < 1 || !text.substring(colon + 1).matches("\\d{1,5}")) {
+            return Optional.empty();
+        }
+        int port = Integer.parseInt(text.substring(colon + 1));
+        if (port > 65_535 || !text.substring(0, colon).matches("[0-9a-fA-F.:\\[\\]]+")) {
+            return Optional.empty();
+        }
+        return Optional.of(new InetSocketAddress(text.substring(0, colon), port));
+    }
+
+    /** Adds a fault for every key that was not taken. */
+    public void rejectUnknown() {
+        for (String section : ini.getSections()) {
+            if (section == null) {
+                continue;
+            }
+            SubnodeConfiguration values = ini.getSection(section);
+            for (Iterator<String> keys = values.getKeys(); keys.hasNext(); ) {
+                String key = keys.next().replace("..", ".");
+                if (!taken.contains(section + "/" + key)) {
+                    addFault(section, key, "no such key in this section");
+                }
+            }
+        }
+    }
+
+    /**
+     * Adds a fault.
+     *
+     * @param section the section
+     * @param key the key
+     * @param allowed what is allowed
+     */
+    public void addFault(String section, String key, String allowed) {
+        String found = find(section, key)
+                .map(value -> ", found '" + mask(key, value) + "'")
+                .orElse("");
+        faults.add(
+                file + ":" + findLine(section, key) + ": [" + section + "] " + key + ": expected " + allowed + found);
+    }
+
+    /**
+     * Throws the gathered faults, if any.
+     *
+     * @throws SettingsException listing every fault
+     */
+    public void throwFaults() throws SettingsException {
+        if (!faults.isEmpty()) {
+            throw new SettingsException(faults);
+        }
+    }
+
+    private Optional<String> find(String section, String key) {
+        taken.add(section + "/" + key);
+        if (!ini.getSections().contains(section)) {
+            return Optional.empty();
+        }
+        return Optional.ofNullable(ini.getSection(section).getString(key.replace(".", ".."), null));
+    }
+
+    private int findLine(String section, String key) {
+        boolean inside = false;
+        int sectionLine = 1;
+        for (int i = 0; i < lines.size(); i++) {
+            String line = lines.get(i).trim();
+            if (line.startsWith("[")) {
+                inside = line.equals("[" + section + "]");
+                sectionLine = inside ? i + 1 : sectionLine;
+            }
+            if (inside && line.split("[=:]", 2)[0].trim().equals(key)) {
+                return i + 1;
+            }
+        }
+        return sectionLine;
+    }
+
+    private static String mask(String key, String value) {
+        return key.equals("secret") ? "***" : value;
+    }
+
+    private static List<String> toList(String text) {
+        List<String> items = new ArrayList<>();
+        for (String item : text.split(",")) {
+            if (!item.isBlank()) {
+                items.add(item.trim());
+            }
+        }
+        return items;
+    }
+}
--- /dev/null
+++ b/settings/src/main/java/io/cranberryarch/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Shared settings arranged under paths, their validation, and the INI file of a process. */
+package io.cranberryarch.settings;
--- /dev/null
+++ b/standin/src/main/java/io/cranberryarch/standin/MemoryPlatform.java
@@ -0,0 +1,76 @@
+package io.cranberryarch.standin;
+
+import io.cranberryarch.platform.ObjectStore;
+import io.cranberryarch.platform.Row;
+import io.cranberryarch.platform.TableStore;
+import io.cranberryarch.platform.Transaction;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.NavigableMap;
+import java.util.Optional;
+import java.util.TreeMap;
+
+/** The platform's stores in memory. Thread-safe. */
+public final class MemoryPlatform implements TableStore, ObjectStore {
+
+    private final NavigableMap<String, Row> rows = new TreeMap<>();
+    private final NavigableMap<String, byte[]> objects = new TreeMap<>();
+
+    @Override
+    public synchronized Optional<Row> get(String key) {
+        return Optional.ofNullable(rows.get(key));
+    }
+
+    @Override
+    public synchronized List<Row> list(String prefix, String after, int limit) {
+        List<Row> found = new ArrayList<>();
+        for (Row row :
+                rows.tailMap(after.isEmpty() ? prefix : after, after.isEmpty()).values()) {
+            if (!row.key().startsWith(prefix) || found.size() == limit) {
+                break;
+            }
+            found.add(row);
+        }
+        return found;
+    }
+
+    @Override
+    public synchronized boolean commit(Transaction transaction) {
+        for (Transaction.Condition condition : transaction.getConditions()) {
+            if (toVersion(condition.key()) != condition.version()) {
+                return false;
+            }
+        }
+        for (Transaction.Write write : transaction.getWrites()) {
+            rows.put(write.key(), new Row(write.key(), toVersion(write.key()) + 1, write.value()));
+        }
+        return true;
+    }
+
+    @Override
+    public synchronized void put(String name, byte[] content) {
+        objects.put(name, content.clone());
+    }
+
+    @Override
+    public synchronized Optional<byte[]> getObject(String name) {
+        return Optional.ofNullable(objects.get(name)).map(byte[]::clone);
+    }
+
+    @Override
+    public synchronized List<String> listObjects(String prefix) {
+        List<String> names = new ArrayList<>();
+        for (String name : objects.tailMap(prefix, true).keySet()) {
+            if (!name.startsWith(prefix)) {
+                break;
+            }
+            names.add(name);
+        }
+        return names;
+    }
+
+    private long toVersion(String key) {
+        Row row = rows.get(key);
+        return row == null ? Transaction.ABSENT : row.version();
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/io/cranberryarch/standin/StandinCommand.java
@@ -0,0 +1,119 @@
+package io.cranberryarch.standin;
+
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/** The subcommands that run stand-ins as processes of their own. */
+@Command(
+        name = "standin",
+        description = "Runs stand-ins of the platform, an upstream or a caller, for the quick start.",
+        subcommands = {
+            StandinCommand.PlatformCommand.class,
+            StandinCommand.UpstreamCommand.class,
+            StandinCommand.CallerCommand.class
+        })
+public final class StandinCommand {
+
+    private static final long FILE_POLL_MS = 50;
+
+    private StandinCommand() {}
+
+    private static void await() throws InterruptedException {
+        new CountDownLatch(1).await();
+    }
+
+    /** Runs the platform. */
+    @Command(name = "platform", description = "Runs the platform's table and object store in memory.")
+    static final class PlatformCommand implements Callable<Integer> {
+
+        @Option(names = "--port", defaultValue = "0", description = "the port, 0 to let the system choose")
+        private int port;
+
+        @Override
+        public Integer call() throws Exception {
+            try (PlatformStandin platform = new PlatformStandin(port).start()) {
+                System.out.println("ready " + platform.getAddress());
+                await();
+            }
+            return 0;
+        }
+    }
+
+    /** Runs an upstream. */
+    @Command(name = "upstream", description = "Runs an upstream that announces itself to its node.")
+    static final class UpstreamCommand implements Callable<Integer> {
+
+        @Option(names = "--name", required = true, description = "named in its answers")
+        private String name;
+
+        @Option(names = "--slots", defaultValue = "100", description = "requests that it runs at once at most")
+        private int slots;
+
+        @Option(names = "--node-file", required = true, description = "file that will hold the node's local address")
+        private Path nodeFile;
+
+        @Override
+        public Integer call() throws Exception {
+            try (UpstreamStandin upstream = new UpstreamStandin(name, 0).start()) {
+                System.out.println("ready " + upstream.getAddress());
+                while (!Files.exists(nodeFile)) {
+                    Thread.sleep(FILE_POLL_MS);
+                }
+                URI node = URI.create(
+                        Files.readString(nodeFile, StandardCharsets.UTF_8).trim());
+                upstream.announce(node, "up", slots);
+                await();
+            }
+            return 0;
+        }
+    }
+
+    /** Runs a caller. */
+    @Command(name = "caller", description = "Sends requests and checks the statuses of the answers.")
+    static final class CallerCommand implements Callable<Integer> {
+
+        @Option(names = "--url", required = true, description = "the address with path and query")
+        private URI url;
+
+        @Option(names = "--method", defaultValue = "GET", description = "the HTTP method")
+        private String method;
+
+        @Option(names = "--key", description = "the caller's key")
+        private String key;
+
+        @Option(names = "--idempotency-prefix", description = "beginning of an idempotency key for each request")
+        private String prefix;
+
+        @Option(names = "--body", description = "the body")
+        private String body;
+
+        @Option(names = "--count", defaultValue = "1", description = "the number of requests")
+        private int count;
+
+        @Option(names = "--expect", description = "the only status that is right; others make the exit code 1")
+        private Integer expected;
+
+        @Override
+        public Integer call() throws Exception {
+            try (CallerStandin caller = new CallerStandin().start()) {
+                Map<Integer, Integer> statuses = caller.send(
+                        url,
+                        method,
+                        Optional.ofNullable(key),
+                        Optional.ofNullable(prefix),
+                        Optional.ofNullable(body),
+                        count);
+                System.out.println(statuses);
+                return expected == null || statuses.equals(Map.of(expected, count)) ? 0 : 1;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/io/cranberryarch/wire/CancelMessage.java
@@ -0,0 +1,23 @@
+package io.cranberryarch.wire;
+
+import java.io.IOException;
+import org.msgpack.core.MessagePacker;
+import org.msgpack.core.MessageUnpacker;
+
+/** Gives up the call whose number is in the frame. */
+public record CancelMessage() implements Message {
+
+    static CancelMessage read(MessageUnpacker unused) {
+        return new CancelMessage();
+    }
+
+    @Override
+    public MessageType getType() {
+        return MessageType.CANCEL;
+    }
+
+    @Override
+    public void write(MessagePacker out) throws IOException {
+        // The type says all.
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/io/cranberryarch/wire/Fields.java
@@ -0,0 +1,75 @@
+package io.cranberryarch.wire;
+
+import io.cranberryarch.context.HeaderField;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.msgpack.core.MessagePacker;
+import org.msgpack.core.MessageUnpacker;
+
+/** Reads and writes fields that several messages share, with bounds on their sizes. */
+final class Fields {
+
+    private static final int MAX_ITEMS = 100_000;
+
+    private Fields() {}
+
+    static void writeBytes(MessagePacker packer, byte[] bytes) throws IOException {
+        packer.packBinaryHeader(bytes.length);
+        packer.addPayload(bytes);
+    }
+
+    static byte[] readBytes(MessageUnpacker unpacker) throws IOException {
+        int length = unpacker.unpackBinaryHeader();
+        if (length > FrameCodec.MAX_FRAME_BYTES) {
+            throw new MalformedFrameException("binary of " + length + " bytes is too large");
+        }
+        return unpacker.readPayload(length);
+    }
+
+    static int readCount(MessageUnpacker unpacker) throws IOException {
+        int count = unpacker.unpackArrayHeader();
+        if (count > MAX_ITEMS) {
+            throw new MalformedFrameException("array of " + count + " items is too large");
+        }
+        return count;
+    }
+
+    static void writeOptional(MessagePacker packer, Optional<String> text) throws IOException {
+        if (text.isPresent()) {
+            packer.packString(text.get());
+        } else {
+            packer.packNil();
+        }
+    }
+
+    static Optional<String> readOptional(MessageUnpacker unpacker) throws IOException {
+        return unpacker.tryUnpackNil() ? Optional.empty() : Optional.of(unpacker.unpackString());
+    }
+
+    static void writeHeaders(MessagePacker packer, List<HeaderField> headers) throws IOException {
+        packer.packArrayHeader(headers.size());
+        for (HeaderField header : headers) {
+            packer.packString(header.name());
+            packer.packString(header.value());
+        }
+    }
+
+    static List<HeaderField> readHeaders(MessageUnpacker unpacker) throws IOException {
+        int count = readCount(unpacker);
+        List<HeaderField> headers = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            headers.add(new HeaderField(unpacker.unpackString(), unpacker.unpackString()));
+        }
+        return headers;
+    }
+
+    static <E extends Enum<E>> E readEnum(MessageUnpacker unpacker, E[] values) throws IOException {
+        int ordinal = unpacker.unpackInt();
+        if (ordinal < 0 || ordinal >= values.length) {
+            throw new MalformedFrameException("no constant " + ordinal);
+        }
+        return values[ordinal];
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/io/cranberryarch/wire/PingMessage.java
@@ -0,0 +1,31 @@
+package io.cranberryarch.wire;
+
+import java.io.IOException;
+import org.msgpack.core.MessagePacker;
+import org.msgpack.core.MessageUnpacker;
+
+/**
+ * Asks for a sign of life, or gives one.
+ *
+ * @param isAnswer whether this answers a ping
+ */
+public record PingMessage(boolean isAnswer) implements Message {
+
+    static PingMessage readPing(MessageUnpacker unused) {
+        return new PingMessage(false);
+    }
+
+    static PingMessage readPong(MessageUnpacker unused) {
+        return new PingMessage(true);
+    }
+
+    @Override
+    public MessageType getType() {
+        return isAnswer ? MessageType.PONG : MessageType.PING;
+    }
+
+    @Override
+    public void write(MessagePacker out) throws IOException {
+        // The type says all.
+    }
+}
