Leases in the platform's table

Cause: rates and caller-chosen idempotency keys each need one node at a time, also through pauses, lost answers and cuts, and agreement between nodes is ruled out by the operators. Ruled out: rendezvous hashing alone (two owners in a cut), wall-clock ends, short leases (see docs/design/leases.md).

--- a/node/src/main/java/io/cranberryarch/node/Node.java
+++ b/node/src/main/java/io/cranberryarch/node/Node.java
@@ -50,6 +50,7 @@
             parts.faces().start();
             parts.settings().start(parts.blocking());
             parts.members().start(parts.timer());
+            parts.leases().start(parts.blocking());
             parts.counts().start(parts.blocking());
             Logger.info(
                     "node-started instance={} zone={} service={}", config.instance(), config.zone(), config.service());
@@ -143,6 +144,7 @@
         while (parts.gate().getLoad().inFlight() > 0 && System.currentTimeMillis() < endMs) {
             Thread.sleep(STOP_POLL_MS);
         }
+        parts.leases().releaseAll();
         parts.members().setState(MemberState.GONE);
         parts.counts().flush();
         Logger.info("node-stopped in-flight={}", parts.gate().getLoad().inFlight());
--- a/node/src/main/java/io/cranberryarch/node/NodeComponent.java
+++ b/node/src/main/java/io/cranberryarch/node/NodeComponent.java
@@ -5,6 +5,7 @@
 import io.cranberryarch.node.call.Gate;
 import io.cranberryarch.node.config.SettingsService;
 import io.cranberryarch.node.http.HttpFaces;
+import io.cranberryarch.node.lease.LeaseService;
 import io.cranberryarch.node.member.MemberService;
 import io.cranberryarch.node.peer.PeerNetwork;
 import io.cranberryarch.node.report.CountsReporter;
@@ -25,6 +26,8 @@
 
     Gate gate();
 
+    LeaseService leases();
+
     MemberService members();
 
     PeerNetwork network();
--- a/node/src/main/java/io/cranberryarch/node/NodeModule.java
+++ b/node/src/main/java/io/cranberryarch/node/NodeModule.java
@@ -4,6 +4,8 @@
 import dagger.Provides;
 import io.cranberryarch.base.Clock;
 import io.cranberryarch.base.Closer;
+import io.cranberryarch.decision.lease.Lease;
+import io.cranberryarch.decision.lease.LeaseContender;
 import io.cranberryarch.node.call.ActiveCalls;
 import io.cranberryarch.node.call.Admission;
 import io.cranberryarch.node.call.CallService;
@@ -15,6 +17,7 @@
 import io.cranberryarch.node.http.EntryHandler;
 import io.cranberryarch.node.http.HttpFaces;
 import io.cranberryarch.node.http.LocalHandler;
+import io.cranberryarch.node.lease.LeaseService;
 import io.cranberryarch.node.member.MemberService;
 import io.cranberryarch.node.metrics.NodeMetrics;
 import io.cranberryarch.node.peer.PeerNetwork;
@@ -135,6 +138,18 @@
         }
     }
 
+    @Provides
+    @Singleton
+    LeaseService provideLeases(NodeIdentity identity, HttpPlatform platform, PeerNetwork network, Clock clock) {
+        try {
+            String address = config.host() + ":" + network.getPort();
+            LeaseContender self = new LeaseContender(identity.instance(), identity.incarnation(), address);
+            return new LeaseService(platform, self, clock, Lease.LENGTH_MS);
+        } catch (IOException e) {
+            throw new UncheckedIOException("the port for peers is closed", e);
+        }
+    }
+
     @Provides
     @Singleton
     ActiveCalls provideActiveCalls() {
--- /dev/null
+++ b/node/src/main/java/io/cranberryarch/node/lease/LeaseTable.java
@@ -0,0 +1,50 @@
+package io.cranberryarch.node.lease;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.cranberryarch.decision.lease.LeaseRecord;
+import io.cranberryarch.decision.lease.LeaseWrite;
+import io.cranberryarch.platform.PlatformException;
+import io.cranberryarch.platform.Row;
+import io.cranberryarch.platform.TableStore;
+import io.cranberryarch.platform.Transaction;
+import java.util.Optional;
+
+/** Reads and writes the rows of leases. Thread-safe; blocks. */
+final class LeaseTable {
+
+    private static final String PREFIX = "leases/";
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private final TableStore table;
+
+    LeaseTable(TableStore table) {
+        this.table = table;
+    }
+
+    Optional<Row> read(String name) throws PlatformException {
+        return table.get(PREFIX + name);
+    }
+
+    boolean write(LeaseWrite write) throws PlatformException {
+        String key = PREFIX + write.name();
+        return table.commit(
+                new Transaction().requireVersion(key, write.requiredVersion()).put(key, toJson(write.record())));
+    }
+
+    static LeaseRecord toRecord(Row row) throws PlatformException {
+        try {
+            return MAPPER.readValue(row.value(), LeaseRecord.class);
+        } catch (JsonProcessingException e) {
+            throw new PlatformException("the row " + row.key() + " is not a lease", e);
+        }
+    }
+
+    private static String toJson(LeaseRecord content) throws PlatformException {
+        try {
+            return MAPPER.writeValueAsString(content);
+        } catch (JsonProcessingException e) {
+            throw new PlatformException("the lease cannot be written", e);
+        }
+    }
+}
