Decisions that share a rate between zones by short grants

Cause: each node had a full bucket of every client account, so a fleet of n nodes admitted n times the rate.

Each zone has a share of rate and burst. Its allocator grants tokens for one second; tokens in its bucket and tokens granted but perhaps unspent never exceed the share's burst. The holder counts the second from the sending of its request, the allocator from the receipt. A successor starts empty and fills after the longest grant of its predecessor has ended.

Ruled out: fractions of the rate moved between nodes (a lost transfer loses rate for good and needs a reclaim), and a home allocator for part of the rate (a cut zone strands 1/zones of it on average either way, and the home's death strands more at once).

Proof: ShardAllocatorTest, 1,500 random schedules with loss, doubling, delay, reordering, pauses, replaced allocators and holders, changed rates; every window between two admissions is checked.

--- /dev/null
+++ b/decision/src/main/java/io/cranberryarch/decision/rate/RateShare.java
@@ -0,0 +1,60 @@
+package io.cranberryarch.decision.rate;
+
+import com.dynatrace.hash4j.hashing.Hashing;
+import java.util.Comparator;
+import java.util.List;
+
+/**
+ * The part of a client account's rate and burst that the allocator of one availability zone grants.
+ *
+ * <p>The parts of all zones add up to the rate, and to the burst rounded down to whole tokens. A burst with fewer
+ * tokens than there are zones is held by as many zones as it has tokens.
+ *
+ * <pre>
+ * RateShare share = RateShare.of("acme", 90, 30, List.of("zone-a", "zone-b", "zone-c"), "zone-a");
+ * share.burst(); // 10
+ * </pre>
+ *
+ * @param ratePerSecond tokens a second, not negative
+ * @param burst the most tokens that are unspent at once, not negative
+ */
+public record RateShare(double ratePerSecond, long burst) {
+
+    /** Nothing. */
+    public static final RateShare NONE = new RateShare(0, 0);
+
+    /**
+     * Computes the part of a zone.
+     *
+     * @param account the name of the client account, not {@code null}
+     * @param ratePerSecond the rate of the account, not negative
+     * @param burst the burst of the account, not negative
+     * @param zones all zones of the fleet, the same list at all nodes up to its order
+     * @param zone the zone
+     * @return the part, {@link #NONE} if the zone has none
+     */
+    public static RateShare of(String account, double ratePerSecond, double burst, List<String> zones, String zone) {
+        long tokens = (long) Math.floor(burst);
+        if (tokens < 1) {
+            return NONE;
+        }
+        int rank = toOrder(account, zones).indexOf(zone);
+        long parts = Math.min(zones.size(), tokens);
+        if (rank < 0 || rank >= parts) {
+            return NONE;
+        }
+        long part = tokens / parts + (rank < tokens % parts ? 1 : 0);
+        return new RateShare(ratePerSecond * part / tokens, part);
+    }
+
+    private static List<String> toOrder(String account, List<String> zones) {
+        return zones.stream()
+                .sorted(Comparator.comparingLong((String zone) -> toHash(account, zone))
+                        .thenComparing(Comparator.naturalOrder()))
+                .toList();
+    }
+
+    private static long toHash(String account, String zone) {
+        return Hashing.xxh3_64().hashStream().putString(account).putString(zone).getAsLong();
+    }
+}
--- /dev/null
+++ b/decision/src/main/java/io/cranberryarch/decision/rate/ShardAllocator.java
@@ -0,0 +1,66 @@
+package io.cranberryarch.decision.rate;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Function;
+
+/**
+ * Grants the tokens of all client accounts in one shard of one availability zone, under one epoch of its lease.
+ *
+ * <p>An earlier holder of the lease may have granted the whole burst. So each bucket starts empty, and fills only after
+ * the last grant of the earlier holder has ended. Not thread-safe.
+ */
+public final class ShardAllocator {
+
+    private final long epoch;
+    private final long fillsFromMs;
+    private final Map<String, TokenAllocator> allocators = new HashMap<>();
+
+    /**
+     * Creates the allocator of a new epoch.
+     *
+     * @param epoch the epoch of the lease
+     * @param heldSinceMs when the lease was first seen to be held, monotonic time in milliseconds
+     */
+    public ShardAllocator(long epoch, long heldSinceMs) {
+        this.epoch = epoch;
+        this.fillsFromMs = heldSinceMs + TokenAllocator.GRANT_LENGTH_MS;
+    }
+
+    /**
+     * Gets the epoch.
+     *
+     * @return the epoch of the lease
+     */
+    public long getEpoch() {
+        return epoch;
+    }
+
+    /**
+     * Settles earlier grants and grants tokens. Call it only while the lease of the epoch is held at {@code nowMs}.
+     *
+     * @param request the request, not {@code null}
+     * @param share the share of the account under the settings in force here, not {@code null}
+     * @param nowMs monotonic time when the request was received, in milliseconds
+     * @return the answer
+     */
+    public TokenAnswer handle(TokenRequest request, RateShare share, long nowMs) {
+        TokenAllocator allocator =
+                allocators.computeIfAbsent(request.account(), account -> new TokenAllocator(share, epoch, fillsFromMs));
+        allocator.configure(share, nowMs);
+        return allocator.handle(request, nowMs);
+    }
+
+    /**
+     * Applies changed settings to all accounts. Call it when settings come into force, so that buckets fill at the old
+     * rate no longer.
+     *
+     * @param toShare computes the share of an account by its name, not {@code null}
+     * @param nowMs monotonic time in milliseconds
+     */
+    public void configure(Function<String, RateShare> toShare, long nowMs) {
+        for (Map.Entry<String, TokenAllocator> entry : allocators.entrySet()) {
+            entry.getValue().configure(toShare.apply(entry.getKey()), nowMs);
+        }
+    }
+}
--- /dev/null
+++ b/decision/src/main/java/io/cranberryarch/decision/rate/TokenAnswer.java
@@ -0,0 +1,16 @@
+package io.cranberryarch.decision.rate;
+
+/**
+ * Answers a {@link TokenRequest}.
+ *
+ * <p>The grant ends {@link #lengthMs} after the holder sent the request, on the holder's monotonic clock. The allocator
+ * counts its tokens as unspent until the same time after it received the request, which is never earlier.
+ *
+ * @param number the number of the request
+ * @param epoch the epoch of the allocator
+ * @param grant the number of the grant
+ * @param tokens tokens granted, may be 0
+ * @param lengthMs the length of the grant in milliseconds
+ * @param waitMs when the allocator expects to have a token again, in milliseconds, 0 if it has some left
+ */
+public record TokenAnswer(long number, long epoch, long grant, long tokens, long lengthMs, long waitMs) {}
--- /dev/null
+++ b/decision/src/main/java/io/cranberryarch/decision/rate/TokenSource.java
@@ -0,0 +1,128 @@
+package io.cranberryarch.decision.rate;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+
+/** What a holder knows of the allocator of one zone, and the grants it holds from it. Not thread-safe. */
+final class TokenSource {
+
+    private static final long REQUEST_TIMEOUT_MS = 100;
+    private static final long FAILURE_BACKOFF_MS = 200;
+
+    private final String zone;
+    private final Deque<HeldGrant> grants = new ArrayDeque<>();
+    private long epoch;
+    private long requestNumber;
+    private long sentAtMs;
+    private boolean isInFlight;
+    private boolean isAnswered = true;
+    private long askAgainAtMs = Long.MIN_VALUE;
+
+    TokenSource(String zone) {
+        this.zone = zone;
+    }
+
+    boolean isZone(String name) {
+        return zone.equals(name);
+    }
+
+    boolean isInFlight(long nowMs) {
+        if (isInFlight && nowMs - sentAtMs > REQUEST_TIMEOUT_MS) {
+            fail(requestNumber, nowMs);
+        }
+        return isInFlight;
+    }
+
+    boolean isAskable(long nowMs) {
+        return !isInFlight(nowMs) && nowMs >= askAgainAtMs;
+    }
+
+    long getAskAgainAtMs() {
+        return askAgainAtMs;
+    }
+
+    TokenRequest ask(String account, long number, long needed, long wanted, long nowMs) {
+        requestNumber = number;
+        sentAtMs = nowMs;
+        isInFlight = true;
+        isAnswered = false;
+        return new TokenRequest(zone, account, number, needed, wanted, epoch, report(nowMs));
+    }
+
+    /** Takes the answer to the last request, once. The grant ends by the time of sending, not of the answer. */
+    void onAnswer(TokenAnswer answer, long nowMs) {
+        if (answer.number() != requestNumber || isAnswered) {
+            return;
+        }
+        isAnswered = true;
+        isInFlight = false;
+        askAgainAtMs = nowMs + answer.waitMs();
+        epoch = answer.epoch();
+        grants.removeIf(grant -> grant.isEnded(nowMs));
+        if (answer.tokens() > 0) {
+            grants.add(new HeldGrant(epoch, answer.grant(), answer.tokens(), nowMs, sentAtMs + answer.lengthMs()));
+        }
+    }
+
+    void fail(long number, long nowMs) {
+        if (number != requestNumber || !isInFlight) {
+            return;
+        }
+        isInFlight = false;
+        askAgainAtMs = nowMs + FAILURE_BACKOFF_MS;
+    }
+
+    boolean trySpend(long nowMs) {
+        for (HeldGrant grant : grants) {
+            if (grant.trySpend(nowMs)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    long countTokens(long nowMs) {
+        long count = 0;
+        for (HeldGrant grant : grants) {
+            count += grant.getLeft(nowMs);
+        }
+        return count;
+    }
+
+    /** Gives back at most so many tokens of grants of at least the given age. */
+    long giveBack(long tokens, long minAgeMs, long nowMs) {
+        long given = 0;
+        for (HeldGrant grant : grants) {
+            if (grant.getAgeMs(nowMs) >= minAgeMs) {
+                given += grant.giveBack(tokens - given, nowMs);
+            }
+        }
+        return given;
+    }
+
+    boolean isReportDue() {
+        for (HeldGrant grant : grants) {
+            if (grant.isReportDue(epoch)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    TokenRequest settle(String account, long nowMs) {
+        return new TokenRequest(zone, account, 0, 0, 0, epoch, report(nowMs));
+    }
+
+    private List<GrantSettlement> report(long nowMs) {
+        List<GrantSettlement> settlements = new ArrayList<>();
+        for (HeldGrant grant : grants) {
+            if (grant.isReportDue(epoch)) {
+                settlements.add(grant.report());
+            }
+        }
+        grants.removeIf(grant -> grant.getLeft(nowMs) < 1);
+        return settlements;
+    }
+}
