--- a/node/src/main/java/io/cranberryarch/node/Node.java
+++ b/node/src/main/java/io/cranberryarch/node/Node.java
@@ -107,6 +107,15 @@
         return parts.settings().isReady();
     }
 
+    /**
+     * Counts the calls that run or wait at the gate.
+     *
+     * @return the number of calls
+     */
+    public int getInFlight() {
+        return parts.gate().getLoad().inFlight();
+    }
+
     /**
      * Counts the members that take calls, as this node knows them.
      *
@@ -141,13 +150,13 @@
         parts.members().setState(MemberState.DRAINING);
         long endMs = System.currentTimeMillis() + STOP_TIMEOUT_MS;
         Thread.sleep(LEAVE_NOTICE_MS);
-        while (parts.gate().getLoad().inFlight() > 0 && System.currentTimeMillis() < endMs) {
+        while (getInFlight() > 0 && System.currentTimeMillis() < endMs) {
             Thread.sleep(STOP_POLL_MS);
         }
         parts.leases().releaseAll();
         parts.members().setState(MemberState.GONE);
         parts.counts().flush();
-        Logger.info("node-stopped in-flight={}", parts.gate().getLoad().inFlight());
+        Logger.info("node-stopped in-flight={}", getInFlight());
         closer.close();
     }
 
