Nodes charge the fleet's rate, not a full bucket each

Cause: RateService kept a full bucket in each node.

A node that finds no allocator says rate-unavailable (503), not rate-exceeded. A node is ready when it knows the holders of the leases it contends for.

--- a/context/src/main/java/io/cranberryarch/context/RefusalReason.java
+++ b/context/src/main/java/io/cranberryarch/context/RefusalReason.java
@@ -32,6 +32,8 @@
     PEER_LOST(502),
     /** The client account is above its rate. */
     RATE_EXCEEDED(429),
+    /** No allocator that grants the client account's rate can be reached. */
+    RATE_UNAVAILABLE(503),
     /** The node has not yet learned the current settings. */
     SETTINGS_UNAVAILABLE(503),
     /** The upstream failed to answer. */
--- /dev/null
+++ b/decision/src/main/java/io/cranberryarch/decision/rate/RateShard.java
@@ -0,0 +1,63 @@
+package io.cranberryarch.decision.rate;
+
+import com.dynatrace.hash4j.hashing.Hashing;
+import io.cranberryarch.decision.membership.Member;
+import io.cranberryarch.decision.membership.MemberState;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+
+/**
+ * Some client accounts of one availability zone, whose tokens one allocator grants.
+ *
+ * @param zone the zone
+ * @param number the number of the shard, less than {@link #COUNT}
+ */
+public record RateShard(String zone, int number) {
+
+    /** Shards in each zone. */
+    public static final int COUNT = 16;
+
+    private static final int CANDIDATES = 2;
+
+    /**
+     * Gets the shard of an account.
+     *
+     * @param zone the zone, not {@code null}
+     * @param account the name of the client account, not {@code null}
+     * @return the shard
+     */
+    public static RateShard of(String zone, String account) {
+        return new RateShard(zone, (int) Long.remainderUnsigned(toHash(account), COUNT));
+    }
+
+    /**
+     * Gets the name of the lease that its allocator holds.
+     *
+     * @return the name
+     */
+    public String toLeaseName() {
+        return "rate/" + zone + "/" + number;
+    }
+
+    /**
+     * Lists the members that contend for the lease.
+     *
+     * @param members all members known
+     * @return at most two members of the zone, the first choice first
+     */
+    public List<Member> toCandidates(Collection<Member> members) {
+        String name = toLeaseName();
+        return members.stream()
+                .filter(member -> member.zone().equals(zone))
+                .filter(member -> member.state() == MemberState.UP || member.state() == MemberState.STARTING)
+                .sorted(Comparator.comparingLong((Member member) -> toHash(name + "/" + member.instance()))
+                        .thenComparing(Member::instance))
+                .limit(CANDIDATES)
+                .toList();
+    }
+
+    private static long toHash(String text) {
+        return Hashing.xxh3_64().hashCharsToLong(text);
+    }
+}
--- a/decision/src/main/java/io/cranberryarch/decision/rate/ShardAllocator.java
+++ b/decision/src/main/java/io/cranberryarch/decision/rate/ShardAllocator.java
@@ -13,6 +13,7 @@
 public final class ShardAllocator {
 
     private final long epoch;
+    private final boolean isFirst;
     private final long fillsFromMs;
     private final Map<String, TokenAllocator> allocators = new HashMap<>();
 
@@ -20,10 +21,12 @@
      * Creates the allocator of a new epoch.
      *
      * @param epoch the epoch of the lease
+     * @param isFirst whether nobody held the lease before, so that buckets may start full
      * @param heldSinceMs when the lease was first seen to be held, monotonic time in milliseconds
      */
-    public ShardAllocator(long epoch, long heldSinceMs) {
+    public ShardAllocator(long epoch, boolean isFirst, long heldSinceMs) {
         this.epoch = epoch;
+        this.isFirst = isFirst;
         this.fillsFromMs = heldSinceMs + TokenAllocator.GRANT_LENGTH_MS;
     }
 
@@ -45,8 +48,9 @@
      * @return the answer
      */
     public TokenAnswer handle(TokenRequest request, RateShare share, long nowMs) {
-        TokenAllocator allocator =
-                allocators.computeIfAbsent(request.account(), account -> new TokenAllocator(share, epoch, fillsFromMs));
+        TokenAllocator allocator = allocators.computeIfAbsent(
+                request.account(),
+                account -> new TokenAllocator(share, epoch, isFirst ? share.burst() : 0, fillsFromMs));
         allocator.configure(share, nowMs);
         return allocator.handle(request, nowMs);
     }
--- a/decision/src/main/java/io/cranberryarch/decision/rate/TokenAllocator.java
+++ b/decision/src/main/java/io/cranberryarch/decision/rate/TokenAllocator.java
@@ -35,14 +35,16 @@
     private long nextGrant = 1;
 
     /**
-     * Creates an allocator with an empty bucket, which fills from the given time on.
+     * Creates an allocator whose bucket fills from the given time on.
      *
      * @param share the share that is granted, not {@code null}
      * @param epoch the epoch of the lease under which the share is granted
+     * @param level the tokens in the bucket at the start, at most the burst of the share
      * @param fillsFromMs when the last grant of an earlier epoch has ended, monotonic time in milliseconds
      */
-    public TokenAllocator(RateShare share, long epoch, long fillsFromMs) {
+    public TokenAllocator(RateShare share, long epoch, long level, long fillsFromMs) {
         this.share = share;
+        this.level = level;
         this.epoch = epoch;
         this.filledAtMs = fillsFromMs;
     }
--- a/decision/src/main/java/io/cranberryarch/decision/rate/TokenHolder.java
+++ b/decision/src/main/java/io/cranberryarch/decision/rate/TokenHolder.java
@@ -89,18 +89,17 @@
             return requests;
         }
         TokenSource own = sources.get(0);
-        if (own.isAskable(nowMs)) {
+        if (isUseful(own, waiting, nowMs)) {
             requests.add(ask(own, waiting, missing, nowMs));
-            return requests;
         }
-        if (own.isInFlight(nowMs)) {
+        if (own.isInFlight(nowMs) && !own.isFailing()) {
             return requests;
         }
         int room = (waiting > 0 ? FAN_OUT : 1) - countInFlight(nowMs);
         for (int i = 1; i < sources.size() && room > 0; i++) {
             TokenSource source = sources.get(nextSource);
             nextSource = nextSource + 1 < sources.size() ? nextSource + 1 : 1;
-            if (source.isAskable(nowMs)) {
+            if (isUseful(source, waiting, nowMs)) {
                 requests.add(ask(source, waiting, missing, nowMs));
                 room--;
             }
@@ -162,6 +161,20 @@
         }
     }
 
+    /**
+     * Checks whether any zone's allocator answers.
+     *
+     * @return whether the last request to at least one zone did not fail
+     */
+    public boolean isServed() {
+        for (TokenSource source : sources) {
+            if (!source.isFailing()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /**
      * Checks whether waiting is of use.
      *
@@ -186,7 +199,7 @@
     public long toRetryAfterMs(long nowMs) {
         long soonestMs = Long.MAX_VALUE;
         for (TokenSource source : sources) {
-            soonestMs = Math.min(soonestMs, Math.max(nowMs, source.getAskAgainAtMs()));
+            soonestMs = Math.min(soonestMs, Math.max(nowMs, source.getFillsAtMs()));
         }
         return Math.max(1, soonestMs - nowMs);
     }
@@ -201,6 +214,10 @@
         return toDemand(nowMs) < 1 && countTokens(nowMs) == 0 && countInFlight(nowMs) == 0;
     }
 
+    private static boolean isUseful(TokenSource source, long waiting, long nowMs) {
+        return waiting > 0 ? source.isAskable(nowMs) : source.isPrefetchable(nowMs);
+    }
+
     private TokenRequest ask(TokenSource source, long needed, long wanted, long nowMs) {
         return source.ask(account, nextNumber++, needed, wanted, nowMs);
     }
--- a/decision/src/main/java/io/cranberryarch/decision/rate/TokenSource.java
+++ b/decision/src/main/java/io/cranberryarch/decision/rate/TokenSource.java
@@ -10,12 +10,20 @@
 
     private static final long REQUEST_TIMEOUT_MS = 100;
     private static final long FAILURE_BACKOFF_MS = 200;
+    private static final int MAX_FAILURE_DOUBLINGS = 5;
+    private static final long DRY_BACKOFF_MS = 5;
+    private static final int MAX_DRY_DOUBLINGS = 5;
+    private static final long MAX_DRY_BACKOFF_MS = 1_000;
+    private static final long PREFETCH_INTERVAL_MS = 20;
 
     private final String zone;
     private final Deque<HeldGrant> grants = new ArrayDeque<>();
     private long epoch;
     private long requestNumber;
-    private long sentAtMs;
+    private long sentAtMs = Long.MIN_VALUE / 2;
+    private long fillsAtMs;
+    private int failures;
+    private int dryAnswers;
     private boolean isInFlight;
     private boolean isAnswered = true;
     private long askAgainAtMs = Long.MIN_VALUE;
@@ -39,8 +47,19 @@
         return !isInFlight(nowMs) && nowMs >= askAgainAtMs;
     }
 
-    long getAskAgainAtMs() {
-        return askAgainAtMs;
+    /** Checks whether tokens may be asked for ahead of need. */
+    boolean isPrefetchable(long nowMs) {
+        return isAskable(nowMs) && nowMs - sentAtMs >= PREFETCH_INTERVAL_MS;
+    }
+
+    /** Checks whether the last request failed. */
+    boolean isFailing() {
+        return failures > 0;
+    }
+
+    /** Gets when the allocator expects to have a token. */
+    long getFillsAtMs() {
+        return Math.max(fillsAtMs, askAgainAtMs);
     }
 
     TokenRequest ask(String account, long number, long needed, long wanted, long nowMs) {
@@ -58,7 +77,10 @@
         }
         isAnswered = true;
         isInFlight = false;
-        askAgainAtMs = nowMs + answer.waitMs();
+        failures = 0;
+        fillsAtMs = nowMs + answer.waitMs();
+        dryAnswers = answer.tokens() > 0 ? 0 : dryAnswers + 1;
+        askAgainAtMs = nowMs + toBackoffMs(answer);
         epoch = answer.epoch();
         grants.removeIf(grant -> grant.isEnded(nowMs));
         if (answer.tokens() > 0) {
@@ -71,7 +93,8 @@
             return;
         }
         isInFlight = false;
-        askAgainAtMs = nowMs + FAILURE_BACKOFF_MS;
+        askAgainAtMs = nowMs + (FAILURE_BACKOFF_MS << Math.min(failures, MAX_FAILURE_DOUBLINGS));
+        failures++;
     }
 
     boolean trySpend(long nowMs) {
@@ -115,6 +138,14 @@
         return new TokenRequest(zone, account, 0, 0, 0, epoch, report(nowMs));
     }
 
+    private long toBackoffMs(TokenAnswer answer) {
+        if (answer.tokens() > 0 || answer.waitMs() == 0) {
+            return answer.waitMs();
+        }
+        long backoffMs = DRY_BACKOFF_MS << Math.min(dryAnswers, MAX_DRY_DOUBLINGS);
+        return Math.min(MAX_DRY_BACKOFF_MS, Math.max(answer.waitMs(), backoffMs));
+    }
+
     private List<GrantSettlement> report(long nowMs) {
         List<GrantSettlement> settlements = new ArrayList<>();
         for (HeldGrant grant : grants) {
--- a/decision/src/test/java/io/cranberryarch/decision/rate/ShardAllocatorTest.java
+++ b/decision/src/test/java/io/cranberryarch/decision/rate/ShardAllocatorTest.java
@@ -50,7 +50,7 @@
 
     @Test
     void bucketFillsAtTheNewRateFromTheChangeOn() {
-        ShardAllocator allocator = new ShardAllocator(1, 0);
+        ShardAllocator allocator = new ShardAllocator(1, false, 0);
         RateShare fast = new RateShare(100, 100);
         RateShare slow = new RateShare(1, 100);
         assertEquals(100, allocator.handle(toRequest(200), fast, 10_000).tokens());
@@ -175,7 +175,7 @@
         }
 
         private void replaceAllocator(int zone) {
-            allocators[zone] = new ShardAllocator(nextEpoch++, nowMs);
+            allocators[zone] = new ShardAllocator(nextEpoch, nextEpoch++ <= zones.size(), nowMs);
         }
 
         private void replaceHolder(int node) {
--- a/node/src/main/java/io/cranberryarch/node/Node.java
+++ b/node/src/main/java/io/cranberryarch/node/Node.java
@@ -51,6 +51,7 @@
             parts.settings().start(parts.blocking());
             parts.members().start(parts.timer());
             parts.leases().start(parts.blocking());
+            parts.rates().start(parts.timer());
             parts.counts().start(parts.blocking());
             Logger.info(
                     "node-started instance={} zone={} service={}", config.instance(), config.zone(), config.service());
@@ -104,7 +105,7 @@
      * @return whether it is ready
      */
     public boolean isReady() {
-        return parts.settings().isReady();
+        return parts.settings().isReady() && parts.rates().isReady();
     }
 
     /**
@@ -164,6 +165,7 @@
         switch (frame.message().getType()) {
             case CALL -> parts.calls().onCall(connection, frame);
             case GOSSIP -> parts.members().onGossip(connection, frame);
+            case TOKEN_REQUEST -> parts.tokens().onRequest(connection, frame);
             case SETTINGS_PULL -> parts.settings().onPull(connection, frame);
             default -> Logger.debug("frame-ignored type={}", frame.message().getType());
         }
--- a/node/src/main/java/io/cranberryarch/node/NodeComponent.java
+++ b/node/src/main/java/io/cranberryarch/node/NodeComponent.java
@@ -8,6 +8,8 @@
 import io.cranberryarch.node.lease.LeaseService;
 import io.cranberryarch.node.member.MemberService;
 import io.cranberryarch.node.peer.PeerNetwork;
+import io.cranberryarch.node.rate.RateService;
+import io.cranberryarch.node.rate.TokenRouter;
 import io.cranberryarch.node.report.CountsReporter;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import javax.inject.Named;
@@ -28,6 +30,10 @@
 
     LeaseService leases();
 
+    RateService rates();
+
+    TokenRouter tokens();
+
     MemberService members();
 
     PeerNetwork network();
--- a/node/src/main/java/io/cranberryarch/node/NodeModule.java
+++ b/node/src/main/java/io/cranberryarch/node/NodeModule.java
@@ -10,7 +10,6 @@
 import io.cranberryarch.node.call.Admission;
 import io.cranberryarch.node.call.CallService;
 import io.cranberryarch.node.call.Gate;
-import io.cranberryarch.node.call.RateService;
 import io.cranberryarch.node.call.UpstreamClient;
 import io.cranberryarch.node.config.SettingsService;
 import io.cranberryarch.node.http.AdminHandler;
@@ -21,6 +20,9 @@
 import io.cranberryarch.node.member.MemberService;
 import io.cranberryarch.node.metrics.NodeMetrics;
 import io.cranberryarch.node.peer.PeerNetwork;
+import io.cranberryarch.node.rate.RateAllocators;
+import io.cranberryarch.node.rate.RateService;
+import io.cranberryarch.node.rate.TokenRouter;
 import io.cranberryarch.node.report.CountsReporter;
 import io.cranberryarch.platform.HttpPlatform;
 import io.cranberryarch.platform.SettingsLog;
@@ -29,6 +31,8 @@
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.nio.channels.AsynchronousChannelGroup;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.ThreadFactory;
@@ -183,8 +187,24 @@
 
     @Provides
     @Singleton
-    RateService provideRates(Clock clock) {
-        return new RateService(clock);
+    RateAllocators provideRateAllocators(
+            Clock clock, SettingsService settings, MemberService members, LeaseService leases) {
+        return new RateAllocators(clock, settings, members, leases, config.zones());
+    }
+
+    @Provides
+    @Singleton
+    TokenRouter provideTokenRouter(MemberService members, PeerNetwork network, RateAllocators allocators) {
+        return new TokenRouter(members, network, allocators);
+    }
+
+    @Provides
+    @Singleton
+    RateService provideRates(Clock clock, RateAllocators allocators, TokenRouter router, NodeMetrics metrics) {
+        List<String> zones = new ArrayList<>(config.zones());
+        zones.remove(config.zone());
+        zones.add(0, config.zone());
+        return new RateService(clock, allocators, router, zones, metrics.getRegistry());
     }
 
     @Provides
--- a/node/src/main/java/io/cranberryarch/node/http/EntryHandler.java
+++ b/node/src/main/java/io/cranberryarch/node/http/EntryHandler.java
@@ -9,13 +9,14 @@
 import io.cranberryarch.context.RequestHeaders;
 import io.cranberryarch.decision.retry.RetryBudget;
 import io.cranberryarch.node.call.CallService;
-import io.cranberryarch.node.call.RateService;
 import io.cranberryarch.node.config.SettingsService;
 import io.cranberryarch.node.metrics.NodeMetrics;
+import io.cranberryarch.node.rate.RateService;
 import io.cranberryarch.node.report.CountsReporter;
 import io.cranberryarch.settings.ClientAccount;
 import io.cranberryarch.settings.Route;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.Request;
@@ -71,13 +72,7 @@
             entry.refuse(refusal.get());
             return true;
         }
-        HttpBodies.read(request, maxBodyBytes).whenComplete((body, failure) -> {
-            if (failure != null) {
-                entry.refuse(HttpBodies.toRefusal(failure));
-            } else {
-                entry.send(body);
-            }
-        });
+        entry.charge().thenAccept(overRate -> overRate.ifPresentOrElse(entry::refuse, entry::read));
         return true;
     }
 
@@ -90,6 +85,7 @@
         private final String requestId = Digests.ofRandomHex(REQUEST_ID_BYTES);
         private final long startNanos = System.nanoTime();
         private Optional<Route> route = Optional.empty();
+        private Optional<ClientAccount> client = Optional.empty();
         private String account = "";
 
         Entry(Request request, Response response, Callback callback) {
@@ -118,8 +114,23 @@
             if (found.isEmpty()) {
                 return Optional.of(Refusal.ofNotRun(RefusalReason.KEY_REJECTED, 0));
             }
+            client = found;
             account = found.get().name();
-            return rates.charge(found.get());
+            return Optional.empty();
+        }
+
+        CompletableFuture<Optional<Refusal>> charge() {
+            return client.map(rates::charge).orElseGet(() -> CompletableFuture.completedFuture(Optional.empty()));
+        }
+
+        void read() {
+            HttpBodies.read(request, maxBodyBytes).whenComplete((body, failure) -> {
+                if (failure != null) {
+                    refuse(HttpBodies.toRefusal(failure));
+                } else {
+                    send(body);
+                }
+            });
         }
 
         void send(byte[] body) {
--- /dev/null
+++ b/node/src/main/java/io/cranberryarch/node/rate/RateAllocators.java
@@ -0,0 +1,173 @@
+package io.cranberryarch.node.rate;
+
+import io.cranberryarch.base.Clock;
+import io.cranberryarch.decision.lease.HeldLease;
+import io.cranberryarch.decision.lease.LeaseHolder;
+import io.cranberryarch.decision.lease.LeaseOrigin;
+import io.cranberryarch.decision.membership.Member;
+import io.cranberryarch.decision.rate.RateShard;
+import io.cranberryarch.decision.rate.RateShare;
+import io.cranberryarch.decision.rate.ShardAllocator;
+import io.cranberryarch.decision.rate.TokenAnswer;
+import io.cranberryarch.decision.rate.TokenRequest;
+import io.cranberryarch.node.config.SettingsService;
+import io.cranberryarch.node.lease.LeaseService;
+import io.cranberryarch.node.member.MemberService;
+import io.cranberryarch.settings.FleetSettings;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import org.tinylog.Logger;
+
+/**
+ * The allocators of this node: one for each shard of its zone whose lease it holds.
+ *
+ * <p>Thread-safe; each shard has its own lock.
+ */
+public final class RateAllocators {
+
+    private final Clock clock;
+    private final SettingsService settings;
+    private final MemberService members;
+    private final LeaseService leases;
+    private final List<String> zones;
+    private final List<Slot> slots = new ArrayList<>();
+    private final Set<String> wanted = ConcurrentHashMap.newKeySet();
+    private volatile boolean isTicked;
+
+    /**
+     * Creates the allocators, which grant nothing before they hold leases.
+     *
+     * @param clock the clock
+     * @param settings the settings in force
+     * @param members the members known
+     * @param leases the leases of this node
+     * @param zones all zones of the fleet
+     */
+    public RateAllocators(
+            Clock clock, SettingsService settings, MemberService members, LeaseService leases, List<String> zones) {
+        this.clock = clock;
+        this.settings = settings;
+        this.members = members;
+        this.leases = leases;
+        this.zones = List.copyOf(zones);
+        for (int i = 0; i < RateShard.COUNT; i++) {
+            slots.add(new Slot(new RateShard(members.getSelf().zone(), i)));
+        }
+    }
+
+    /**
+     * Answers a request if this node holds the lease of the shard.
+     *
+     * @param request the request, not {@code null}
+     * @return the answer, or empty if this node is not the allocator
+     */
+    public Optional<TokenAnswer> handle(TokenRequest request) {
+        RateShard shard = RateShard.of(request.zone(), request.account());
+        if (!shard.zone().equals(members.getSelf().zone())) {
+            return Optional.empty();
+        }
+        return slots.get(shard.number()).handle(request);
+    }
+
+    /**
+     * Gets the instance that holds the lease of a shard.
+     *
+     * @param shard the shard
+     * @return the instance, or empty if this node does not know it
+     */
+    public Optional<String> findHolder(RateShard shard) {
+        return leases.findHolder(shard.toLeaseName()).map(LeaseHolder::instance);
+    }
+
+    /**
+     * Checks whether this node knows the holder of every lease that it contends for.
+     *
+     * @return whether calls can be charged
+     */
+    public boolean isReady() {
+        for (String name : wanted) {
+            if (leases.findHolder(name).isEmpty()) {
+                return false;
+            }
+        }
+        return isTicked;
+    }
+
+    /** Contends for the leases that this node is a candidate for, and applies changed settings. */
+    void tick() {
+        Collection<Member> known = members.getMembers();
+        for (Slot slot : slots) {
+            contend(slot.shard, known);
+            slot.refresh();
+        }
+        isTicked = true;
+    }
+
+    private void contend(RateShard shard, Collection<Member> known) {
+        String name = shard.toLeaseName();
+        boolean isCandidate = shard.toCandidates(known).stream().anyMatch(members::isSelf);
+        if (isCandidate) {
+            leases.want(name);
+            wanted.add(name);
+        } else if (wanted.contains(name) && leases.find(name).isEmpty()) {
+            leases.release(name);
+            wanted.remove(name);
+        }
+    }
+
+    private RateShare toShare(String account) {
+        FleetSettings fleet = settings.getFleet();
+        return fleet.getAccount(account)
+                .map(found -> RateShare.of(
+                        account,
+                        found.ratePerSecond(),
+                        found.burst(),
+                        zones,
+                        members.getSelf().zone()))
+                .orElse(RateShare.NONE);
+    }
+
+    /** One shard and, while its lease is held, its allocator. */
+    private final class Slot {
+
+        private final RateShard shard;
+        private Optional<ShardAllocator> allocator = Optional.empty();
+        private long settingsVersion;
+
+        Slot(RateShard shard) {
+            this.shard = shard;
+        }
+
+        synchronized Optional<TokenAnswer> handle(TokenRequest request) {
+            long nowMs = clock.monotonicMs();
+            Optional<HeldLease> lease = leases.find(shard.toLeaseName());
+            if (lease.isEmpty()) {
+                return Optional.empty();
+            }
+            return Optional.of(get(lease.get(), nowMs).handle(request, toShare(request.account()), nowMs));
+        }
+
+        synchronized void refresh() {
+            long nowMs = clock.monotonicMs();
+            leases.find(shard.toLeaseName()).ifPresent(lease -> get(lease, nowMs));
+            long version = settings.getVersion();
+            if (version == settingsVersion) {
+                return;
+            }
+            settingsVersion = version;
+            allocator.ifPresent(found -> found.configure(RateAllocators.this::toShare, nowMs));
+        }
+
+        private ShardAllocator get(HeldLease lease, long nowMs) {
+            if (allocator.isEmpty() || allocator.get().getEpoch() != lease.epoch()) {
+                Logger.info("rate-allocator lease={} epoch={} origin={}", lease.name(), lease.epoch(), lease.origin());
+                allocator = Optional.of(new ShardAllocator(lease.epoch(), lease.origin() == LeaseOrigin.FIRST, nowMs));
+            }
+            return allocator.get();
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/io/cranberryarch/node/rate/TokenMessages.java
@@ -0,0 +1,69 @@
+package io.cranberryarch.node.rate;
+
+import io.cranberryarch.decision.rate.GrantSettlement;
+import io.cranberryarch.decision.rate.TokenAnswer;
+import io.cranberryarch.decision.rate.TokenRequest;
+import io.cranberryarch.wire.TokenAnswerMessage;
+import io.cranberryarch.wire.TokenRequestMessage;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/** Converts requests for tokens and their answers between decisions and messages. */
+final class TokenMessages {
+
+    private TokenMessages() {}
+
+    static TokenRequestMessage toMessage(TokenRequest request) {
+        List<TokenRequestMessage.Settlement> settlements = new ArrayList<>();
+        for (GrantSettlement settlement : request.settlements()) {
+            settlements.add(
+                    new TokenRequestMessage.Settlement(settlement.grant(), settlement.spent(), settlement.returned()));
+        }
+        return new TokenRequestMessage(
+                request.zone(),
+                request.account(),
+                request.number(),
+                request.needed(),
+                request.wanted(),
+                request.epoch(),
+                settlements);
+    }
+
+    static TokenRequest toRequest(TokenRequestMessage message) {
+        List<GrantSettlement> settlements = new ArrayList<>();
+        for (TokenRequestMessage.Settlement settlement : message.settlements()) {
+            settlements.add(new GrantSettlement(settlement.grant(), settlement.spent(), settlement.returned()));
+        }
+        return new TokenRequest(
+                message.zone(),
+                message.account(),
+                message.number(),
+                message.needed(),
+                message.wanted(),
+                message.epoch(),
+                settlements);
+    }
+
+    static TokenAnswerMessage toMessage(TokenAnswer answer) {
+        return new TokenAnswerMessage(
+                true,
+                Optional.empty(),
+                answer.number(),
+                answer.epoch(),
+                answer.grant(),
+                answer.tokens(),
+                answer.lengthMs(),
+                answer.waitMs());
+    }
+
+    static TokenAnswer toAnswer(TokenAnswerMessage message) {
+        return new TokenAnswer(
+                message.number(),
+                message.epoch(),
+                message.grant(),
+                message.tokens(),
+                message.lengthMs(),
+                message.waitMs());
+    }
+}
--- /dev/null
+++ b/node/src/main/java/io/cranberryarch/node/rate/package-info.java
@@ -0,0 +1,2 @@
+/** Keeps client accounts within their rates across the fleet. */
+package io.cranberryarch.node.rate;
--- a/wire/src/main/java/io/cranberryarch/wire/MessageType.java
+++ b/wire/src/main/java/io/cranberryarch/wire/MessageType.java
@@ -27,7 +27,11 @@
     /** Asks for settings after a version. */
     SETTINGS_PULL(9, SettingsPullMessage::read),
     /** Changes of the settings, or a whole tree. */
-    SETTINGS_PUSH(10, SettingsPushMessage::read);
+    SETTINGS_PUSH(10, SettingsPushMessage::read),
+    /** Asks the allocator of a zone for tokens of a client account. */
+    TOKEN_REQUEST(20, TokenRequestMessage::read),
+    /** Answers a request for tokens. */
+    TOKEN_ANSWER(21, TokenAnswerMessage::read);
 
     private static final MessageType[] BY_CODE = new MessageType[64];
 
--- /dev/null
+++ b/wire/src/main/java/io/cranberryarch/wire/TokenAnswerMessage.java
@@ -0,0 +1,69 @@
+package io.cranberryarch.wire;
+
+import java.io.IOException;
+import java.util.Optional;
+import org.msgpack.core.MessagePacker;
+import org.msgpack.core.MessageUnpacker;
+
+/**
+ * Answers a request for tokens.
+ *
+ * @param isAllocator whether the sender is the allocator that was asked; the numbers mean nothing otherwise
+ * @param allocator the instance that the sender believes to be the allocator, if it is not the sender
+ * @param number the number of the request
+ * @param epoch the epoch of the allocator
+ * @param grant the number of the grant
+ * @param tokens tokens granted
+ * @param lengthMs the length of the grant in milliseconds, from the sending of the request
+ * @param waitMs when the allocator expects to have a token again, in milliseconds
+ */
+public record TokenAnswerMessage(
+        boolean isAllocator,
+        Optional<String> allocator,
+        long number,
+        long epoch,
+        long grant,
+        long tokens,
+        long lengthMs,
+        long waitMs)
+        implements Message {
+
+    /**
+     * Creates the answer of a node that is not the allocator.
+     *
+     * @param allocator the instance that is believed to be the allocator, or empty
+     * @return the answer
+     */
+    public static TokenAnswerMessage ofOther(Optional<String> allocator) {
+        return new TokenAnswerMessage(false, allocator, 0, 0, 0, 0, 0, 0);
+    }
+
+    static TokenAnswerMessage read(MessageUnpacker in) throws IOException {
+        return new TokenAnswerMessage(
+                in.unpackBoolean(),
+                Fields.readOptional(in),
+                in.unpackLong(),
+                in.unpackLong(),
+                in.unpackLong(),
+                in.unpackLong(),
+                in.unpackLong(),
+                in.unpackLong());
+    }
+
+    @Override
+    public MessageType getType() {
+        return MessageType.TOKEN_ANSWER;
+    }
+
+    @Override
+    public void write(MessagePacker out) throws IOException {
+        out.packBoolean(isAllocator);
+        Fields.writeOptional(out, allocator);
+        out.packLong(number);
+        out.packLong(epoch);
+        out.packLong(grant);
+        out.packLong(tokens);
+        out.packLong(lengthMs);
+        out.packLong(waitMs);
+    }
+}
