--- a/settings/src/main/java/io/cranberryarch/settings/IniFile.java
+++ b/settings/src/main/java/io/cranberryarch/settings/IniFile.java
@@ -29,6 +29,7 @@
  */
 public final class IniFile {
 
+    private static final int MAX_PORT = 65_535;
     private static final URI NO_URI = URI.create("http://127.0.0.1");
 
     private final Path file;
@@ -206,7 +207,7 @@
             return Optional.empty();
         }
         int port = Integer.parseInt(text.substring(colon + 1));
-        if (port > 65_535 || !text.substring(0, colon).matches("[0-9a-fA-F.:\\[\\]]+")) {
+        if (port > MAX_PORT || !text.substring(0, colon).matches("[0-9a-fA-F.:\\[\\]]+")) {
             return Optional.empty();
         }
         return Optional.of(new InetSocketAddress(text.substring(0, colon), port));
@@ -222,7 +223,7 @@
             for (Iterator<String> keys = values.getKeys(); keys.hasNext(); ) {
                 String key = keys.next().replace("..", ".");
                 if (!taken.contains(section + "/" + key)) {
-                    addFault(section, key, "no such key in this section");
+                    faults.add(toPlace(section, key) + "unknown key");
                 }
             }
         }
@@ -262,6 +263,10 @@
         return Optional.ofNullable(ini.getSection(section).getString(key.replace(".", ".."), null));
     }
 
+    private String toPlace(String section, String key) {
+        return file + ":" + findLine(section, key) + ": [" + section + "] " + key + ": ";
+    }
+
     private int findLine(String section, String key) {
         boolean inside = false;
         int sectionLine = 1;
