--- a/settings/src/main/java/io/cranberryarch/settings/IniFile.java
+++ b/settings/src/main/java/io/cranberryarch/settings/IniFile.java
@@ -240,8 +240,7 @@
         String found = find(section, key)
                 .map(value -> ", found '" + mask(key, value) + "'")
                 .orElse("");
-        faults.add(
-                file + ":" + findLine(section, key) + ": [" + section + "] " + key + ": expected " + allowed + found);
+        faults.add(toPlace(section, key) + "expected " + allowed + found);
     }
 
     /**
