At most once by keys that name a gate, and by slots with a lease

Cause: any gate ran a key that it had not seen, so a retry through another entry, or after a gate was replaced, ran the request again; a key older than the retention ran again; a full memory was not bounded; a retry got 409 while the first attempt ran; answers said not-run although an earlier attempt under the key could have run; connect timeouts and queue timeouts were "unknown".

Now: keys issued by a node name the one process that may run them. Keys that callers choose fall into 16 slots of each service, owned by a lease. A gate runs a new key only if no other gate can have run it (KeyCustody). The ledger is bounded, refuses rather than forgets, and keeps the newest creation time that it forgot. Retries join the running attempt. A call without a key is tried elsewhere only after a true not-run; a mix of attempts is unknown as soon as one of them may have run. A cancelled or expired call in the admission queue does not start. Answers whose end cannot be told from a cut are errors.

--- a/context/src/main/java/io/cranberryarch/context/CallResult.java
+++ b/context/src/main/java/io/cranberryarch/context/CallResult.java
@@ -50,4 +50,13 @@
     public Execution toExecution() {
         return refusal.map(Refusal::execution).orElse(Execution.RUN);
     }
+
+    /**
+     * Copies this result for a request of which an earlier attempt may have run.
+     *
+     * @return the copy, in which a refusal does not claim that the request was not run
+     */
+    public CallResult toUnknown() {
+        return new CallResult(status, headers, body, refusal.map(Refusal::toUnknown), retryTokens, load);
+    }
 }
--- a/context/src/main/java/io/cranberryarch/context/Refusal.java
+++ b/context/src/main/java/io/cranberryarch/context/Refusal.java
@@ -30,4 +30,13 @@
     public static Refusal ofUnknown(RefusalReason reason, long retryAfterMs) {
         return new Refusal(reason, Execution.UNKNOWN, retryAfterMs);
     }
+
+    /**
+     * Copies this refusal for a request of which an earlier attempt may have run.
+     *
+     * @return a refusal that does not claim that the request was not run
+     */
+    public Refusal toUnknown() {
+        return execution == Execution.NOT_RUN ? ofUnknown(reason, retryAfterMs) : this;
+    }
 }
--- a/context/src/main/java/io/cranberryarch/context/RefusalReason.java
+++ b/context/src/main/java/io/cranberryarch/context/RefusalReason.java
@@ -16,14 +16,16 @@
     DEADLINE_EXCEEDED(504),
     /** The instance is leaving. */
     DRAINING(503),
+    /** The idempotency key was used with another request. */
+    IDEMPOTENCY_MISMATCH(422),
     /** The idempotency key is expired, or an earlier attempt under it has an unknown outcome. */
     IDEMPOTENCY_UNKNOWN(409),
-    /** An earlier attempt with the same idempotency key still runs. */
-    IDEMPOTENCY_RUNNING(409),
     /** No key, an unknown key or a withdrawn key. */
     KEY_REJECTED(401),
     /** No route matches the path. */
     NO_ROUTE(404),
+    /** Another node owns the idempotency key, or none does yet. */
+    NOT_KEY_OWNER(503),
     /** No upstream of the service can be reached. */
     NO_UPSTREAM(503),
     /** The upstream or one that it depends on is overloaded. */
--- a/context/src/main/java/io/cranberryarch/context/RequestContext.java
+++ b/context/src/main/java/io/cranberryarch/context/RequestContext.java
@@ -36,4 +36,13 @@
     public RequestContext toNested(boolean nestedIdempotent, Optional<String> nestedKey) {
         return new RequestContext(requestId, account, kind, priority, nestedIdempotent, nestedKey, depth + 1);
     }
+
+    /**
+     * Gets the key under which this call must run at most once, unique among all client accounts.
+     *
+     * @return the idempotency key with its client account, or empty if there is none or the call may run repeatedly
+     */
+    public Optional<String> toOnceKey() {
+        return idempotent ? Optional.empty() : idempotencyKey.map(key -> account + "/" + key);
+    }
 }
--- a/context/src/main/java/io/cranberryarch/context/RequestHeaders.java
+++ b/context/src/main/java/io/cranberryarch/context/RequestHeaders.java
@@ -14,6 +14,10 @@
     public static final String EXECUTION = "X-Execution";
     /** Carries the key under which a request runs at most once. */
     public static final String IDEMPOTENCY_KEY = "Idempotency-Key";
+    /** Names the instance that owns an idempotency key; between nodes only. */
+    public static final String KEY_OWNER = "X-Key-Owner";
+    /** Is 1 if no earlier attempt under the idempotency key can have run. */
+    public static final String REQUEST_ATTEMPT = "X-Request-Attempt";
     /** Carries the identifier of the request. */
     public static final String REQUEST_ID = "X-Request-Id";
     /** Carries the longest time that the caller waits, in milliseconds. */
@@ -39,6 +43,8 @@
             "x-api-key",
             "x-call-token",
             "x-execution",
+            "x-key-owner",
+            "x-request-attempt",
             "x-request-id",
             "x-request-timeout-ms");
 
--- a/decision/src/main/java/io/cranberryarch/decision/once/ExecutionLedger.java
+++ b/decision/src/main/java/io/cranberryarch/decision/once/ExecutionLedger.java
@@ -1,86 +1,172 @@
 package io.cranberryarch.decision.once;
 
 import io.cranberryarch.context.CallResult;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
 
 /**
- * Remembers which idempotency keys ran at this instance, and their answers. Not thread-safe.
+ * Remembers which idempotency keys ran at this gate, and their answers. Not thread-safe.
+ *
+ * <p>Every key is kept for the retention. Answers are kept within a bound of bytes; a key whose answer was dropped is
+ * still known as run. After the retention a key is forgotten, but the greatest creation time of the forgotten keys is
+ * kept, and no key as old as that runs any more. When there is no room for another key, no new key runs.
  *
  * <pre>
- * ExecutionLedger.Entry entry = ledger.begin(key, nowMs);
- * if (entry.isFirst()) {
+ * KeyDecision decision = ledger.begin(request, firstUse, nowMs);
+ * if (decision.action() == KeyAction.RUN) {
  *     // run, then
- *     ledger.end(key, result);
+ *     ledger.end(request.key(), result);
  * }
  * </pre>
  */
 public final class ExecutionLedger {
 
-    /** How long an answer is kept, in milliseconds. */
+    /** How long a key is kept, in milliseconds. */
     public static final long RETENTION_MS = 600_000;
 
-    private final Map<String, Execution> records = new LinkedHashMap<>();
+    /** The largest answer that is kept, in bytes. */
+    public static final int MAX_STORED_ANSWER_BYTES = 16 * 1024;
+
+    private final int maxKeys;
+    private final long maxAnswerBytes;
+    private final Map<String, Execution> executions = new LinkedHashMap<>();
+    private long answerBytes;
+    private long forgottenUpToMs = Long.MIN_VALUE;
+
+    /**
+     * Creates an empty ledger.
+     *
+     * @param maxKeys the greatest number of keys
+     * @param maxAnswerBytes the bound for all stored answers together, in bytes
+     */
+    public ExecutionLedger(int maxKeys, long maxAnswerBytes) {
+        this.maxKeys = maxKeys;
+        this.maxAnswerBytes = maxAnswerBytes;
+    }
 
     /**
-     * Begins an execution, unless the key was seen before.
+     * Decides about a request under a key.
      *
-     * @param key the idempotency key with its client account
+     * @param request the request
+     * @param firstUse what {@link KeyCustody} says about a key that was not seen before
      * @param nowMs monotonic time in milliseconds
-     * @return whether the key is new, and else the stored answer if there is one
+     * @return the decision; after {@link KeyAction#RUN}, {@link #end} or {@link #forget} must follow
      */
-    public Entry begin(String key, long nowMs) {
+    public KeyDecision begin(KeyedRequest request, KeyAction firstUse, long nowMs) {
         evict(nowMs);
-        Execution known = records.get(key);
+        Execution known = executions.get(request.key());
         if (known != null) {
-            return new Entry(false, known.result);
+            return known.toDecision(request.digest());
+        }
+        if (firstUse != KeyAction.RUN) {
+            return KeyDecision.of(firstUse);
         }
-        records.put(key, new Execution(nowMs));
-        return new Entry(true, Optional.empty());
+        if (request.createdAtMs().isPresent() && request.createdAtMs().getAsLong() <= forgottenUpToMs) {
+            return KeyDecision.of(KeyAction.UNKNOWN);
+        }
+        if (executions.size() >= maxKeys) {
+            return KeyDecision.of(KeyAction.FULL);
+        }
+        executions.put(request.key(), new Execution(request, nowMs));
+        return KeyDecision.of(KeyAction.RUN);
     }
 
     /**
      * Stores the answer of an execution.
      *
-     * @param key the key given to {@link #begin}
+     * @param key the key of a request that runs
      * @param result the final answer
      */
     public void end(String key, CallResult result) {
-        Execution known = records.get(key);
-        if (known != null) {
-            known.result = Optional.of(result);
+        Execution known = executions.get(key);
+        if (known == null || known.hasEnded) {
+            return;
+        }
+        known.hasEnded = true;
+        if (result.body().length > MAX_STORED_ANSWER_BYTES) {
+            return;
         }
+        known.answer = Optional.of(result);
+        answerBytes += result.body().length;
+        dropAnswers();
     }
 
     /**
-     * Forgets a key whose request did not run, so that it may run later.
+     * Forgets a key whose request certainly did not run, so that it may run later.
      *
-     * @param key the key given to {@link #begin}
+     * @param key the key of a request that runs
      */
     public void forget(String key) {
-        records.remove(key);
-    }
-
-    private void evict(long nowMs) {
-        records.values().removeIf(known -> known.beganAtMs + RETENTION_MS < nowMs && known.result.isPresent());
+        Execution known = executions.get(key);
+        if (known != null && !known.hasEnded) {
+            executions.remove(key);
+        }
     }
 
     /**
-     * What is known of a key.
+     * Counts the keys.
      *
-     * @param isFirst whether the key was not seen before
-     * @param result the stored answer, or empty if the execution still runs
+     * @return the number of keys
      */
-    public record Entry(boolean isFirst, Optional<CallResult> result) {}
+    public int getSize() {
+        return executions.size();
+    }
+
+    private void evict(long nowMs) {
+        Iterator<Execution> iterator = executions.values().iterator();
+        while (iterator.hasNext()) {
+            Execution execution = iterator.next();
+            if (nowMs - execution.beganAtMs < RETENTION_MS) {
+                return;
+            }
+            if (execution.hasEnded) {
+                iterator.remove();
+                answerBytes -= execution.getAnswerBytes();
+                forgottenUpToMs = Math.max(
+                        forgottenUpToMs, execution.request.createdAtMs().orElse(Long.MIN_VALUE));
+            }
+        }
+    }
+
+    private void dropAnswers() {
+        if (answerBytes <= maxAnswerBytes) {
+            return;
+        }
+        for (Execution execution : executions.values()) {
+            answerBytes -= execution.getAnswerBytes();
+            execution.answer = Optional.empty();
+            if (answerBytes <= maxAnswerBytes) {
+                return;
+            }
+        }
+    }
 
     /** A key with the answer to its execution. */
     private static final class Execution {
+        private final KeyedRequest request;
         private final long beganAtMs;
-        private Optional<CallResult> result = Optional.empty();
+        private boolean hasEnded;
+        private Optional<CallResult> answer = Optional.empty();
 
-        Execution(long beganAtMs) {
+        Execution(KeyedRequest request, long beganAtMs) {
+            this.request = request;
             this.beganAtMs = beganAtMs;
         }
+
+        KeyDecision toDecision(long digest) {
+            if (digest != request.digest()) {
+                return KeyDecision.of(KeyAction.MISMATCH);
+            }
+            if (!hasEnded) {
+                return KeyDecision.of(KeyAction.JOIN);
+            }
+            return new KeyDecision(answer.isPresent() ? KeyAction.REPLAY : KeyAction.UNKNOWN, answer);
+        }
+
+        int getAnswerBytes() {
+            return answer.map(result -> result.body().length).orElse(0);
+        }
     }
 }
--- /dev/null
+++ b/decision/src/main/java/io/cranberryarch/decision/once/KeyDecision.java
@@ -0,0 +1,17 @@
+package io.cranberryarch.decision.once;
+
+import io.cranberryarch.context.CallResult;
+import java.util.Optional;
+
+/**
+ * The decision about a request under an idempotency key.
+ *
+ * @param action what to do
+ * @param answer the stored answer for {@link KeyAction#REPLAY}, else empty
+ */
+public record KeyDecision(KeyAction action, Optional<CallResult> answer) {
+
+    static KeyDecision of(KeyAction action) {
+        return new KeyDecision(action, Optional.empty());
+    }
+}
--- /dev/null
+++ b/decision/src/main/java/io/cranberryarch/decision/once/KeySlots.java
@@ -0,0 +1,64 @@
+package io.cranberryarch.decision.once;
+
+import com.dynatrace.hash4j.hashing.Hashing;
+import io.cranberryarch.decision.membership.Member;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Divides the keys that callers choose into slots, and ranks the candidates for a slot by rendezvous hashing.
+ *
+ * <pre>
+ * String slot = KeySlots.toSlot("orders", key);
+ * Optional&lt;Member&gt; candidate = KeySlots.pick(members, slot);
+ * </pre>
+ */
+public final class KeySlots {
+
+    /** The number of slots of each service. */
+    public static final int COUNT = 16;
+
+    private KeySlots() {}
+
+    /**
+     * Gets the slot of a key.
+     *
+     * @param service the service
+     * @param key the idempotency key with its client account
+     * @return the name of the slot, one of {@link #COUNT} for the service
+     */
+    public static String toSlot(String service, String key) {
+        return toSlot(service, (int) Math.floorMod(Hashing.komihash5_0().hashCharsToLong(key), (long) COUNT));
+    }
+
+    /**
+     * Gets the name of a slot.
+     *
+     * @param service the service
+     * @param number the number, from 0 to {@link #COUNT} - 1
+     * @return the name
+     */
+    public static String toSlot(String service, int number) {
+        return "once/" + service + "/" + number;
+    }
+
+    /**
+     * Chooses the member that should own a slot. Members that come and go move only their own slots.
+     *
+     * @param candidates members of the slot's service
+     * @param slot the name of the slot
+     * @return the candidate, or empty if there is none
+     */
+    public static Optional<Member> pick(List<Member> candidates, String slot) {
+        Member best = null;
+        long bestHash = 0;
+        for (Member member : candidates) {
+            long hash = Hashing.komihash5_0().hashCharsToLong(member.instance() + " " + slot);
+            if (best == null || Long.compareUnsigned(hash, bestHash) > 0) {
+                best = member;
+                bestHash = hash;
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+}
--- /dev/null
+++ b/decision/src/main/java/io/cranberryarch/decision/once/SlotOwnership.java
@@ -0,0 +1,10 @@
+package io.cranberryarch.decision.once;
+
+/**
+ * The ownership of a slot of keys by this process, valid now.
+ *
+ * @param isFirst whether the slot never had another owner
+ * @param sinceMs monotonic time in milliseconds when the ownership began
+ * @param sinceWallMs time of day in milliseconds when the ownership began
+ */
+public record SlotOwnership(boolean isFirst, long sinceMs, long sinceWallMs) {}
--- a/node/src/main/java/io/cranberryarch/node/Node.java
+++ b/node/src/main/java/io/cranberryarch/node/Node.java
@@ -51,6 +51,7 @@
             parts.settings().start(parts.blocking());
             parts.members().start(parts.timer());
             parts.leases().start(parts.blocking());
+            parts.keys().start(parts.timer());
             parts.counts().start(parts.blocking());
             Logger.info(
                     "node-started instance={} zone={} service={}", config.instance(), config.zone(), config.service());
--- a/node/src/main/java/io/cranberryarch/node/NodeModule.java
+++ b/node/src/main/java/io/cranberryarch/node/NodeModule.java
@@ -10,6 +10,7 @@
 import io.cranberryarch.node.call.Admission;
 import io.cranberryarch.node.call.CallService;
 import io.cranberryarch.node.call.Gate;
+import io.cranberryarch.node.call.KeyService;
 import io.cranberryarch.node.call.RateService;
 import io.cranberryarch.node.call.UpstreamClient;
 import io.cranberryarch.node.config.SettingsService;
@@ -162,12 +163,24 @@
         return new Admission(config.slots());
     }
 
+    @Provides
+    @Singleton
+    KeyService provideKeys(NodeIdentity identity, Clock clock, MemberService members, LeaseService leases) {
+        return new KeyService(identity, config.fleetSecret(), clock, members, leases);
+    }
+
     @Provides
     @Singleton
     Gate provideGate(
-            Clock clock, MemberService members, HttpClient client, ActiveCalls activeCalls, Admission admission) {
+            Clock clock,
+            MemberService members,
+            HttpClient client,
+            ActiveCalls activeCalls,
+            Admission admission,
+            KeyService keys,
+            NodeMetrics metrics) {
         UpstreamClient upstream = new UpstreamClient(client, config.upstream(), config.maxBodyBytes());
-        return new Gate(clock, members, upstream, activeCalls, admission);
+        return new Gate(clock, members, upstream, activeCalls, admission, keys, metrics);
     }
 
     @Provides
@@ -177,8 +190,9 @@
             MemberService members,
             PeerNetwork network,
             Gate gate,
+            KeyService keys,
             @Named("timer") ScheduledThreadPoolExecutor timer) {
-        return new CallService(clock, members, network, gate, timer);
+        return new CallService(clock, members, network, gate, keys, timer);
     }
 
     @Provides
@@ -205,9 +219,10 @@
             SettingsService settings,
             RateService rates,
             CallService calls,
+            KeyService keys,
             NodeMetrics metrics,
             CountsReporter counts) {
-        return new EntryHandler(settings, rates, calls, metrics, counts, config.maxBodyBytes());
+        return new EntryHandler(settings, rates, calls, keys, metrics, counts, config.maxBodyBytes());
     }
 
     @Provides
--- a/node/src/main/java/io/cranberryarch/node/call/CallService.java
+++ b/node/src/main/java/io/cranberryarch/node/call/CallService.java
@@ -3,9 +3,12 @@
 import io.cranberryarch.base.Clock;
 import io.cranberryarch.context.CallRequest;
 import io.cranberryarch.context.CallResult;
+import io.cranberryarch.context.Execution;
+import io.cranberryarch.context.HeaderField;
 import io.cranberryarch.context.LoadReport;
 import io.cranberryarch.context.Refusal;
 import io.cranberryarch.context.RefusalReason;
+import io.cranberryarch.context.RequestHeaders;
 import io.cranberryarch.decision.membership.Member;
 import io.cranberryarch.decision.retry.RetryBudget;
 import io.cranberryarch.decision.retry.RetryDecision;
@@ -40,6 +43,7 @@
     private final MemberService members;
     private final PeerNetwork network;
     private final Gate gate;
+    private final KeyService keys;
     private final ScheduledExecutorService timer;
     private final Map<String, LoadReport> loads = new ConcurrentHashMap<>();
 
@@ -50,25 +54,36 @@
      * @param members the members known
      * @param network the connections to peers
      * @param gate the gate of this node, used without a connection
+     * @param keys finds the nodes of calls with idempotency keys
      * @param timer ends calls at their deadlines
      */
     public CallService(
-            Clock clock, MemberService members, PeerNetwork network, Gate gate, ScheduledExecutorService timer) {
+            Clock clock,
+            MemberService members,
+            PeerNetwork network,
+            Gate gate,
+            KeyService keys,
+            ScheduledExecutorService timer) {
         this.clock = clock;
         this.members = members;
         this.network = network;
         this.gate = gate;
+        this.keys = keys;
         this.timer = timer;
     }
 
     /**
-     * Sends a call.
+     * Sends a call. A cancellation of the returned future gives the call up wherever it is.
      *
      * @param call the call
-     * @return the final answer, never a failed future
+     * @return the final answer, which fails only if it was cancelled
      */
     public CompletableFuture<CallResult> send(CallRequest call) {
         Attempts attempts = new Attempts(call, clock.monotonicMs() + call.timeoutMs());
+        Optional<Refusal> forged = attempts.isKeyed ? keys.check(call) : Optional.empty();
+        if (forged.isPresent()) {
+            return CompletableFuture.completedFuture(refuse(forged.get(), call.retryTokens()));
+        }
         attempts.next();
         return attempts.result;
     }
@@ -81,15 +96,7 @@
      */
     public void onCall(PeerConnection connection, Frame frame) {
         CallRequest call = ((CallMessage) frame.message()).request();
-        gate.handle(call).whenComplete((result, failure) -> {
-            if (failure != null) {
-                Logger.error(failure, "call-failed request={}", call.context().requestId());
-            }
-            CallResult answer = failure == null
-                    ? result
-                    : refuse(Refusal.ofUnknown(RefusalReason.UPSTREAM_FAILED, RETRY_AFTER_MS), 0);
-            connection.send(frame.id(), new AnswerMessage(answer));
-        });
+        connection.serve(frame.id(), gate.handle(call), AnswerMessage::new);
     }
 
     private CompletableFuture<CallResult> attempt(Member member, CallRequest call) {
@@ -100,26 +107,28 @@
         network.connect(MemberService.toAddress(member)).whenComplete((connection, failure) -> {
             if (failure != null) {
                 result.complete(toLost(failure));
-            } else {
+            } else if (!result.isDone()) {
                 exchange(connection, call, result);
             }
         });
+        var timeout = timer.schedule(
+                () -> result.complete(refuse(Refusal.ofUnknown(RefusalReason.DEADLINE_EXCEEDED, RETRY_AFTER_MS), 0)),
+                call.timeoutMs(),
+                TimeUnit.MILLISECONDS);
+        result.whenComplete((answer, failure) -> timeout.cancel(false));
         return result;
     }
 
     private void exchange(PeerConnection connection, CallRequest call, CompletableFuture<CallResult> result) {
         PeerConnection.PendingRequest pending = connection.request(new CallMessage(call));
-        var timeout = timer.schedule(
-                () -> {
-                    connection.forget(pending.id());
-                    connection.send(pending.id(), new CancelMessage());
-                    result.complete(refuse(Refusal.ofUnknown(RefusalReason.DEADLINE_EXCEEDED, RETRY_AFTER_MS), 0));
-                },
-                call.timeoutMs(),
-                TimeUnit.MILLISECONDS);
-        pending.answer().whenComplete((message, failure) -> {
-            timeout.cancel(false);
-            result.complete(failure != null ? toLost(failure) : toResult(message));
+        pending.answer()
+                .whenComplete(
+                        (message, failure) -> result.complete(failure != null ? toLost(failure) : toResult(message)));
+        result.whenComplete((answer, failure) -> {
+            if (!pending.answer().isDone()) {
+                connection.forget(pending.id());
+                connection.send(pending.id(), new CancelMessage());
+            }
         });
     }
 
@@ -144,6 +153,10 @@
         return CallResult.ofRefusal(refusal, retryTokens, Optional.empty());
     }
 
+    private static Refusal toNoUpstream() {
+        return Refusal.ofNotRun(RefusalReason.NO_UPSTREAM, RETRY_AFTER_MS);
+    }
+
     private double toLoad(Member member) {
         LoadReport load = loads.get(member.instance());
         return load == null ? 0 : (double) load.inFlight() / Math.max(1, load.limit());
@@ -157,33 +170,72 @@
         private final RetryBudget budget;
         private final Set<String> tried = new HashSet<>();
         private final CompletableFuture<CallResult> result = new CompletableFuture<>();
+        private final boolean isKeyed;
+        private boolean mayHaveRun;
+        private boolean isResent;
+        private Optional<String> keyOwner = Optional.empty();
 
         Attempts(CallRequest call, long deadlineMs) {
             this.call = call;
+            this.isKeyed = call.context().toOnceKey().isPresent();
             this.deadlineMs = deadlineMs;
             this.budget = new RetryBudget(call.retryTokens());
         }
 
         void next() {
-            Optional<Member> member = InstanceChoice.pick(
-                    members.findServing(call.service()),
-                    members.getSelf().zone(),
-                    tried,
-                    CallService.this::toLoad,
-                    ThreadLocalRandom.current().nextLong());
+            Optional<Member> member = isKeyed ? keys.findTarget(call, keyOwner) : pick();
             if (member.isEmpty()) {
-                Refusal refusal = Refusal.ofNotRun(RefusalReason.NO_UPSTREAM, RETRY_AFTER_MS);
-                result.complete(refuse(refusal, budget.getTokens()));
+                finish(refuse(isKeyed ? keys.toUnreachable(call) : toNoUpstream(), budget.getTokens()));
                 return;
             }
             tried.add(member.get().instance());
             long leftMs = Math.max(0, deadlineMs - clock.monotonicMs());
             int lent = budget.lend();
             CallRequest attempt = call.toAttempt(leftMs, lent);
-            attempt(member.get(), attempt).whenComplete((answer, failure) -> onAnswer(member.get(), answer, failure));
+            CompletableFuture<CallResult> current = attempt(member.get(), attempt);
+            result.whenComplete((answer, failure) -> {
+                if (result.isCancelled()) {
+                    current.cancel(false);
+                }
+            });
+            current.whenComplete((answer, failure) -> onAnswer(member.get(), answer, failure));
+        }
+
+        private Optional<Member> pick() {
+            return InstanceChoice.pick(
+                    members.findServing(call.service()),
+                    members.getSelf().zone(),
+                    tried,
+                    CallService.this::toLoad,
+                    ThreadLocalRandom.current().nextLong());
+        }
+
+        private void finish(CallResult last) {
+            result.complete(mayHaveRun ? last.toUnknown() : last);
+        }
+
+        private boolean isAgainAllowed(CallResult answer) {
+            Refusal refusal = answer.refusal().orElseThrow();
+            if (!isKeyed) {
+                return RetryDecision.isAllowed(refusal, call.context().idempotent());
+            }
+            if (refusal.reason() == RefusalReason.NOT_KEY_OWNER && keyOwner.isEmpty()) {
+                keyOwner = answer.headers().stream()
+                        .filter(header -> header.name().equals(RequestHeaders.KEY_OWNER))
+                        .map(HeaderField::value)
+                        .findFirst();
+                return keyOwner.isPresent();
+            }
+            // The node of a key runs it once however often it is sent.
+            boolean isLost = refusal.reason() == RefusalReason.PEER_LOST && !isResent;
+            isResent |= isLost;
+            return isLost;
         }
 
         private void onAnswer(Member member, CallResult answer, Throwable failure) {
+            if (result.isDone()) {
+                return;
+            }
             if (failure != null) {
                 Logger.error(
                         failure, "attempt-failed request={}", call.context().requestId());
@@ -191,18 +243,18 @@
                 result.complete(refuse(refusal, 0));
                 return;
             }
+            mayHaveRun |= answer.refusal().isPresent() && answer.toExecution() != Execution.NOT_RUN;
             answer.load().ifPresent(load -> loads.put(member.instance(), load));
             budget.giveBack(answer.retryTokens());
             boolean isAgain = answer.refusal().isPresent()
-                    && RetryDecision.isAllowed(
-                            answer.refusal().get(), call.context().idempotent())
+                    && isAgainAllowed(answer)
                     && deadlineMs > clock.monotonicMs()
                     && budget.trySpend();
             if (isAgain) {
                 next();
                 return;
             }
-            result.complete(new CallResult(
+            finish(new CallResult(
                     answer.status(),
                     answer.headers(),
                     answer.body(),
--- a/node/src/main/java/io/cranberryarch/node/call/Gate.java
+++ b/node/src/main/java/io/cranberryarch/node/call/Gate.java
@@ -3,16 +3,19 @@
 import io.cranberryarch.base.Clock;
 import io.cranberryarch.context.CallRequest;
 import io.cranberryarch.context.CallResult;
-import io.cranberryarch.context.Execution;
+import io.cranberryarch.context.HeaderField;
 import io.cranberryarch.context.LoadReport;
 import io.cranberryarch.context.Refusal;
 import io.cranberryarch.context.RefusalReason;
-import io.cranberryarch.context.RequestContext;
+import io.cranberryarch.context.RequestHeaders;
 import io.cranberryarch.decision.membership.MemberState;
-import io.cranberryarch.decision.once.ExecutionLedger;
 import io.cranberryarch.node.member.MemberService;
+import io.cranberryarch.node.metrics.NodeMetrics;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.tinylog.Logger;
 
 /**
  * Stands in front of the upstream: admits calls, runs non-idempotent ones at most once, and refuses the rest at once.
@@ -28,7 +31,9 @@
     private final UpstreamClient upstream;
     private final ActiveCalls activeCalls;
     private final Admission admission;
-    private final ExecutionLedger ledger = new ExecutionLedger();
+    private final KeyService keys;
+    private final KeyedExecutions keyed;
+    private final AtomicInteger inProgress = new AtomicInteger();
 
     /**
      * Creates a gate.
@@ -38,41 +43,61 @@
      * @param upstream sends calls to the upstream
      * @param activeCalls the calls that the upstream runs now
      * @param admission admits calls
+     * @param keys tells which idempotency keys may run here
+     * @param metrics counts what is done with idempotency keys
      */
     public Gate(
-            Clock clock, MemberService members, UpstreamClient upstream, ActiveCalls activeCalls, Admission admission) {
+            Clock clock,
+            MemberService members,
+            UpstreamClient upstream,
+            ActiveCalls activeCalls,
+            Admission admission,
+            KeyService keys,
+            NodeMetrics metrics) {
         this.clock = clock;
         this.members = members;
         this.upstream = upstream;
         this.activeCalls = activeCalls;
         this.admission = admission;
+        this.keys = keys;
+        this.keyed = new KeyedExecutions(clock, metrics);
     }
 
     /**
      * Runs a call or refuses it.
      *
+     * <p>A cancellation of the returned future gives the call up: it does not start any more, and the upstream's work
+     * is aborted. A call under an idempotency key goes on, so that a later attempt finds its answer.
+     *
      * @param call the call
-     * @return the final answer, never a failed future
+     * @return the final answer
      */
     public CompletableFuture<CallResult> handle(CallRequest call) {
-        Optional<Refusal> refusal = check(call);
-        if (refusal.isPresent()) {
-            return refuse(call, refusal.get());
-        }
-        Optional<String> key = toLedgerKey(call.context());
-        if (key.isEmpty()) {
-            return admit(call);
-        }
-        ExecutionLedger.Entry entry;
-        synchronized (ledger) {
-            entry = ledger.begin(key.get(), clock.monotonicMs());
-        }
-        if (entry.isFirst()) {
-            return admit(call).thenApply(result -> store(key.get(), result));
-        }
-        return entry.result()
-                .map(result -> CompletableFuture.completedFuture(withLoad(result, call.retryTokens())))
-                .orElseGet(() -> refuse(call, Refusal.ofUnknown(RefusalReason.IDEMPOTENCY_RUNNING, RETRY_AFTER_MS)));
+        inProgress.incrementAndGet();
+        Cancellation cancellation = new Cancellation();
+        CompletableFuture<CallResult> answer = new CompletableFuture<>();
+        answer.whenComplete((result, failure) -> {
+            if (answer.isCancelled()) {
+                cancellation.cancel();
+            }
+        });
+        toAnswer(call, cancellation).whenComplete((result, failure) -> {
+            try {
+                complete(answer, result, failure);
+            } finally {
+                inProgress.decrementAndGet();
+            }
+        });
+        return answer;
+    }
+
+    /**
+     * Counts the calls whose answers were not given yet.
+     *
+     * @return the number of calls that wait or run
+     */
+    public int getInProgress() {
+        return inProgress.get();
     }
 
     /**
@@ -84,6 +109,29 @@
         return admission.getLoad();
     }
 
+    private CompletableFuture<CallResult> toAnswer(CallRequest call, Cancellation cancellation) {
+        Optional<String> key = call.context().toOnceKey();
+        if (key.isEmpty()) {
+            return runUnlessRefused(call, cancellation);
+        }
+        Optional<Refusal> forged = keys.check(call);
+        if (forged.isPresent()) {
+            return refuse(call, forged.get());
+        }
+        return keyed.handle(
+                        call,
+                        key.get(),
+                        keys.toCreatedAtMs(call),
+                        keys.toFirstUse(call),
+                        first -> runUnlessRefused(first, new Cancellation()))
+                .thenApply(result -> withLoad(withOwner(call, result), call.retryTokens()));
+    }
+
+    private CompletableFuture<CallResult> runUnlessRefused(CallRequest call, Cancellation cancellation) {
+        Optional<Refusal> refusal = check(call);
+        return refusal.isPresent() ? refuse(call, refusal.get()) : admit(call, cancellation);
+    }
+
     private Optional<Refusal> check(CallRequest call) {
         MemberState state = members.getSelf().state();
         if (state == MemberState.DRAINING || state == MemberState.GONE) {
@@ -98,36 +146,67 @@
         return Optional.empty();
     }
 
-    private CompletableFuture<CallResult> admit(CallRequest call) {
+    private CompletableFuture<CallResult> admit(CallRequest call, Cancellation cancellation) {
         long arrivedAtMs = clock.monotonicMs();
-        return admission
-                .enter(call)
-                .thenCompose(refusal -> refusal.isPresent()
-                        ? refuse(call, refusal.get())
-                        : run(call.toAttempt(
-                                call.timeoutMs() - clock.monotonicMs() + arrivedAtMs, call.retryTokens())));
+        return admission.enter(call).thenCompose(refusal -> {
+            if (refusal.isPresent()) {
+                return refuse(call, refusal.get());
+            }
+            long leftMs = call.timeoutMs() - clock.monotonicMs() + arrivedAtMs;
+            return run(call.toAttempt(leftMs, call.retryTokens()), cancellation);
+        });
     }
 
-    private CompletableFuture<CallResult> run(CallRequest call) {
+    private CompletableFuture<CallResult> run(CallRequest call, Cancellation cancellation) {
+        if (cancellation.isCancelled() || call.timeoutMs() <= 0) {
+            RefusalReason reason =
+                    cancellation.isCancelled() ? RefusalReason.CANCELLED : RefusalReason.DEADLINE_EXCEEDED;
+            CallResult result = CallResult.ofRefusal(
+                    Refusal.ofNotRun(reason, RETRY_AFTER_MS), call.retryTokens(), Optional.empty());
+            admission.exit(call, result, 0);
+            return CompletableFuture.completedFuture(withLoad(result, call.retryTokens()));
+        }
         long startedAtMs = clock.monotonicMs();
         ActiveCall active = new ActiveCall(call.context(), startedAtMs + call.timeoutMs(), call.retryTokens());
         long id = activeCalls.add(active);
-        return upstream.send(call, activeCalls.toToken(id)).thenApply(result -> {
+        CompletableFuture<CallResult> exchange = upstream.send(call, activeCalls.toToken(id));
+        cancellation.onCancel(() -> {
+            active.cancelNested();
+            exchange.cancel(false);
+        });
+        return exchange.handle((answer, failure) -> {
             activeCalls.remove(id);
+            CallResult result = failure == null ? answer : toFailed(exchange.isCancelled());
             admission.exit(call, result, clock.monotonicMs() - startedAtMs);
             return withLoad(result, active.getRetries());
         });
     }
 
-    private CallResult store(String key, CallResult result) {
-        synchronized (ledger) {
-            if (result.toExecution() == Execution.NOT_RUN) {
-                ledger.forget(key);
-            } else {
-                ledger.end(key, result);
-            }
+    private static CallResult toFailed(boolean isCancelled) {
+        RefusalReason reason = isCancelled ? RefusalReason.CANCELLED : RefusalReason.UPSTREAM_FAILED;
+        return CallResult.ofRefusal(Refusal.ofUnknown(reason, RETRY_AFTER_MS), 0, Optional.empty());
+    }
+
+    private static void complete(CompletableFuture<CallResult> answer, CallResult result, Throwable failure) {
+        if (failure != null) {
+            Logger.error(failure, "call-failed");
+            answer.complete(toFailed(false));
+        } else {
+            answer.complete(result);
         }
-        return result;
+    }
+
+    private CallResult withOwner(CallRequest call, CallResult result) {
+        boolean isElsewhere = result.refusal()
+                .filter(refusal -> refusal.reason() == RefusalReason.NOT_KEY_OWNER)
+                .isPresent();
+        Optional<String> owner = isElsewhere ? keys.findOwner(call) : Optional.empty();
+        if (owner.isEmpty()) {
+            return result;
+        }
+        List<HeaderField> headers = List.of(new HeaderField(RequestHeaders.KEY_OWNER, owner.get()));
+        return new CallResult(
+                result.status(), headers, result.body(), result.refusal(), result.retryTokens(), result.load());
     }
 
     private CompletableFuture<CallResult> refuse(CallRequest call, Refusal refusal) {
@@ -144,11 +223,4 @@
                 retryTokens,
                 Optional.of(getLoad()));
     }
-
-    private static Optional<String> toLedgerKey(RequestContext context) {
-        if (context.idempotent()) {
-            return Optional.empty();
-        }
-        return context.idempotencyKey().map(key -> context.account() + "/" + key);
-    }
 }
--- a/node/src/main/java/io/cranberryarch/node/call/UpstreamClient.java
+++ b/node/src/main/java/io/cranberryarch/node/call/UpstreamClient.java
@@ -6,11 +6,11 @@
 import io.cranberryarch.context.Refusal;
 import io.cranberryarch.context.RefusalReason;
 import io.cranberryarch.context.RequestHeaders;
-import java.net.ConnectException;
 import java.net.URI;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CancellationException;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
@@ -18,8 +18,11 @@
 import org.eclipse.jetty.client.BytesRequestContent;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.client.Result;
 import org.eclipse.jetty.http.HttpField;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpStatus;
 
 /** Sends calls to the upstream beside this node over HTTP. Thread-safe. */
 public final class UpstreamClient {
@@ -44,7 +47,7 @@
     }
 
     /**
-     * Sends a call.
+     * Sends a call. A cancellation of the returned future aborts the exchange.
      *
      * @param call the call
      * @param token the token that the upstream passes on with its own calls
@@ -67,23 +70,39 @@
         if (call.body().length > 0) {
             request.body(new BytesRequestContent(call.body()));
         }
-        Listener listener = new Listener(maxBodyBytes);
+        Listener listener = new Listener(maxBodyBytes, call.method());
+        request.onRequestBegin(begun -> listener.hasBegun = true);
+        listener.result.whenComplete((result, failure) -> {
+            if (listener.result.isCancelled()) {
+                request.abort(new CancellationException("the call was cancelled"));
+            }
+        });
         request.send(listener);
         return listener.result;
     }
 
-    private static CallResult toFailure(Throwable failure) {
-        if (failure instanceof ConnectException) {
-            return refuse(Refusal.ofNotRun(RefusalReason.UPSTREAM_FAILED, RETRY_AFTER_MS));
-        }
-        if (failure instanceof TimeoutException) {
-            return refuse(Refusal.ofUnknown(RefusalReason.DEADLINE_EXCEEDED, RETRY_AFTER_MS));
-        }
-        return refuse(Refusal.ofUnknown(RefusalReason.UPSTREAM_FAILED, RETRY_AFTER_MS));
+    private static CallResult toFailure(Throwable failure, boolean hasBegun) {
+        RefusalReason reason =
+                failure instanceof TimeoutException ? RefusalReason.DEADLINE_EXCEEDED : RefusalReason.UPSTREAM_FAILED;
+        Refusal refusal =
+                hasBegun ? Refusal.ofUnknown(reason, RETRY_AFTER_MS) : Refusal.ofNotRun(reason, RETRY_AFTER_MS);
+        return CallResult.ofRefusal(refusal, 0, Optional.empty());
     }
 
-    private static CallResult refuse(Refusal refusal) {
-        return CallResult.ofRefusal(refusal, 0, Optional.empty());
+    /**
+     * Checks whether the end of an answer can be told from a connection that was cut.
+     *
+     * @param method the method of the request
+     * @param response the response
+     * @return whether its length is known, it is chunked, or it has no body
+     */
+    private static boolean isDelimited(String method, Response response) {
+        int status = response.getStatus();
+        return method.equals("HEAD")
+                || status == HttpStatus.NO_CONTENT_204
+                || status == HttpStatus.NOT_MODIFIED_304
+                || response.getHeaders().contains(HttpHeader.CONTENT_LENGTH)
+                || response.getHeaders().contains(HttpHeader.TRANSFER_ENCODING, "chunked");
     }
 
     /** Gathers the whole answer. */
@@ -91,14 +110,18 @@
 
         private final CompletableFuture<CallResult> result = new CompletableFuture<>();
 
-        Listener(int maxBodyBytes) {
+        private final String method;
+        private volatile boolean hasBegun;
+
+        Listener(int maxBodyBytes, String method) {
             super(maxBodyBytes);
+            this.method = method;
         }
 
         @Override
         public void onComplete(Result outcome) {
-            if (outcome.isFailed()) {
-                result.complete(toFailure(outcome.getFailure()));
+            if (outcome.isFailed() || !isDelimited(method, outcome.getResponse())) {
+                result.complete(toFailure(outcome.getFailure(), hasBegun));
                 return;
             }
             List<HeaderField> headers = new ArrayList<>();
--- a/node/src/main/java/io/cranberryarch/node/http/EntryHandler.java
+++ b/node/src/main/java/io/cranberryarch/node/http/EntryHandler.java
@@ -9,6 +9,7 @@
 import io.cranberryarch.context.RequestHeaders;
 import io.cranberryarch.decision.retry.RetryBudget;
 import io.cranberryarch.node.call.CallService;
+import io.cranberryarch.node.call.KeyService;
 import io.cranberryarch.node.call.RateService;
 import io.cranberryarch.node.config.SettingsService;
 import io.cranberryarch.node.metrics.NodeMetrics;
@@ -16,6 +17,7 @@
 import io.cranberryarch.settings.ClientAccount;
 import io.cranberryarch.settings.Route;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.Request;
@@ -32,6 +34,7 @@
     private final SettingsService settings;
     private final Credentials credentials;
     private final RateService rates;
+    private final KeyIssuer keyIssuer;
     private final CallService calls;
     private final NodeMetrics metrics;
     private final CountsReporter counts;
@@ -43,6 +46,7 @@
      * @param settings the settings in force
      * @param rates charges the rates of client accounts
      * @param calls sends calls
+     * @param keys issues idempotency keys
      * @param metrics notes outcomes
      * @param counts counts outcomes for the report
      * @param maxBodyBytes the largest body of a request
@@ -51,12 +55,14 @@
             SettingsService settings,
             RateService rates,
             CallService calls,
+            KeyService keys,
             NodeMetrics metrics,
             CountsReporter counts,
             int maxBodyBytes) {
         this.settings = settings;
         this.credentials = new Credentials(settings);
         this.rates = rates;
+        this.keyIssuer = new KeyIssuer(settings, credentials, rates, keys);
         this.calls = calls;
         this.metrics = metrics;
         this.counts = counts;
@@ -65,6 +71,10 @@
 
     @Override
     public boolean handle(Request request, Response response, Callback callback) {
+        if (Request.getPathInContext(request).equals(KeyIssuer.PATH) && settings.isReady()) {
+            keyIssuer.handle(request, response, callback);
+            return true;
+        }
         Entry entry = new Entry(request, response, callback);
         Optional<Refusal> refusal = entry.check();
         if (refusal.isPresent()) {
@@ -136,7 +146,9 @@
                     request.getHttpURI().getPathQuery(),
                     HttpBodies.toForwarded(request),
                     body);
-            calls.send(call).whenComplete((result, failure) -> {
+            CompletableFuture<CallResult> answer = calls.send(call);
+            request.addFailureListener(failure -> answer.cancel(false));
+            answer.whenComplete((result, failure) -> {
                 if (failure != null) {
                     Logger.error(failure, "request-failed request={}", requestId);
                     refuse(Refusal.ofUnknown(RefusalReason.UPSTREAM_FAILED, SETTINGS_RETRY_AFTER_MS));
@@ -150,7 +162,10 @@
             finish(CallResult.ofRefusal(refusal, 0, Optional.empty()));
         }
 
-        private void finish(CallResult result) {
+        private void finish(CallResult last) {
+            boolean isKeyed = request.getHeaders().contains(RequestHeaders.IDEMPOTENCY_KEY)
+                    && !route.map(Route::idempotent).orElse(false);
+            CallResult result = HttpAnswers.toTrue(last, isKeyed, HttpBodies.isFirstAttempt(request));
             String outcome = result.refusal()
                     .map(refusal -> refusal.reason().toText())
                     .orElse(result.status() < 500 ? "ok" : "upstream-error");
--- a/node/src/main/java/io/cranberryarch/node/http/HttpAnswers.java
+++ b/node/src/main/java/io/cranberryarch/node/http/HttpAnswers.java
@@ -21,6 +21,11 @@
 
     private HttpAnswers() {}
 
+    /** Takes back the claim that a request was not run where an earlier attempt under its key may have run. */
+    static CallResult toTrue(CallResult result, boolean isKeyed, boolean isFirstAttempt) {
+        return isKeyed && !isFirstAttempt ? result.toUnknown() : result;
+    }
+
     static void write(Response response, Callback callback, CallResult result, String requestId) {
         if (result.refusal().isPresent()) {
             writeRefusal(response, callback, result.refusal().get(), requestId);
--- a/node/src/main/java/io/cranberryarch/node/http/HttpBodies.java
+++ b/node/src/main/java/io/cranberryarch/node/http/HttpBodies.java
@@ -34,6 +34,11 @@
         return length > maxBytes ? Optional.of(Refusal.ofNotRun(RefusalReason.BODY_TOO_LARGE, 0)) : Optional.empty();
     }
 
+    /** Checks whether the caller says that no earlier attempt under the same idempotency key can have run. */
+    static boolean isFirstAttempt(Request request) {
+        return "1".equals(request.getHeaders().get(RequestHeaders.REQUEST_ATTEMPT));
+    }
+
     static Refusal toRefusal(Throwable failure) {
         Throwable cause = failure.getCause() == null ? failure : failure.getCause();
         RefusalReason reason = cause instanceof IllegalStateException || failure instanceof IllegalStateException
--- /dev/null
+++ b/node/src/main/java/io/cranberryarch/node/http/KeyIssuer.java
@@ -0,0 +1,72 @@
+package io.cranberryarch.node.http;
+
+import io.cranberryarch.api.IssuedKeysBody;
+import io.cranberryarch.context.Refusal;
+import io.cranberryarch.context.RefusalReason;
+import io.cranberryarch.node.call.KeyService;
+import io.cranberryarch.node.call.RateService;
+import io.cranberryarch.node.config.SettingsService;
+import io.cranberryarch.settings.ClientAccount;
+import io.cranberryarch.settings.Route;
+import java.util.List;
+import java.util.Optional;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.Fields;
+
+/**
+ * Issues idempotency keys to callers: {@code POST /.well-known/cranberryarch/idempotency-keys?path=/orders&count=10}.
+ *
+ * <p>Parameters are the path of the requests to come, and how many keys are wanted, 1 if not given.
+ */
+final class KeyIssuer {
+
+    /** The path at which keys are issued. */
+    static final String PATH = "/.well-known/cranberryarch/idempotency-keys";
+
+    private static final long RETRY_AFTER_MS = 1_000;
+
+    private final SettingsService settings;
+    private final Credentials credentials;
+    private final RateService rates;
+    private final KeyService keys;
+
+    KeyIssuer(SettingsService settings, Credentials credentials, RateService rates, KeyService keys) {
+        this.settings = settings;
+        this.credentials = credentials;
+        this.rates = rates;
+        this.keys = keys;
+    }
+
+    void handle(Request request, Response response, Callback callback) {
+        Optional<ClientAccount> account = credentials.authenticate(request);
+        Optional<Refusal> refusal = account.isEmpty()
+                ? Optional.of(Refusal.ofNotRun(RefusalReason.KEY_REJECTED, 0))
+                : rates.charge(account.get());
+        if (refusal.isPresent()) {
+            HttpAnswers.writeRefusal(response, callback, refusal.get(), "");
+            return;
+        }
+        Fields query = Request.extractQueryParameters(request);
+        Optional<Route> route = Optional.ofNullable(query.getValue("path"))
+                .flatMap(path -> settings.getFleet().findRoute(path));
+        String count = Optional.ofNullable(query.getValue("count")).orElse("1");
+        if (route.isEmpty() || !request.getMethod().equals("POST") || !isCount(count)) {
+            RefusalReason reason = route.isEmpty() ? RefusalReason.NO_ROUTE : RefusalReason.BAD_REQUEST;
+            HttpAnswers.writeRefusal(response, callback, Refusal.ofNotRun(reason, 0), "");
+            return;
+        }
+        List<String> issued = keys.issue(route.get().service(), account.get().name(), Integer.parseInt(count));
+        if (issued.isEmpty()) {
+            Refusal none = Refusal.ofNotRun(RefusalReason.NO_UPSTREAM, RETRY_AFTER_MS);
+            HttpAnswers.writeRefusal(response, callback, none, "");
+            return;
+        }
+        HttpAnswers.writeJson(response, callback, 200, new IssuedKeysBody(issued));
+    }
+
+    private static boolean isCount(String text) {
+        return text.matches("[1-9]\\d{0,2}") && Integer.parseInt(text) <= KeyService.MAX_ISSUED;
+    }
+}
--- a/node/src/main/java/io/cranberryarch/node/http/LocalHandler.java
+++ b/node/src/main/java/io/cranberryarch/node/http/LocalHandler.java
@@ -20,6 +20,7 @@
 import java.io.IOException;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
@@ -103,9 +104,12 @@
         }
         CallRequest call = toNested(request, body, parent.orElseThrow(), route.orElseThrow());
         String requestId = call.context().requestId();
-        calls.send(call).whenComplete((result, failure) -> {
+        boolean isFirst = HttpBodies.isFirstAttempt(request);
+        CompletableFuture<CallResult> answered = calls.send(call);
+        parent.get().addNested(answered);
+        answered.whenComplete((result, failure) -> {
             CallResult answer = failure == null
-                    ? result
+                    ? HttpAnswers.toTrue(result, call.context().toOnceKey().isPresent(), isFirst)
                     : CallResult.ofRefusal(Refusal.ofUnknown(RefusalReason.UPSTREAM_FAILED, 0), 0, Optional.empty());
             parent.get().giveBackRetries(answer.retryTokens());
             HttpAnswers.write(response, callback, answer, requestId);
--- a/node/src/main/java/io/cranberryarch/node/peer/PeerConnection.java
+++ b/node/src/main/java/io/cranberryarch/node/peer/PeerConnection.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Function;
 import org.tinylog.Logger;
 
 /**
@@ -43,6 +44,7 @@
     private final FrameWriter writer;
     private final CompletableFuture<PeerConnection> ready = new CompletableFuture<>();
     private final Map<Long, CompletableFuture<Message>> pending = new ConcurrentHashMap<>();
+    private final Map<Long, CompletableFuture<?>> served = new ConcurrentHashMap<>();
     private final AtomicLong nextId = new AtomicLong(1);
     private final AtomicBoolean closed = new AtomicBoolean();
     private final long openedAtMs;
@@ -132,6 +134,27 @@
         pending.remove(id);
     }
 
+    /**
+     * Answers a request of the peer, unless the peer gives it up or is lost before: then the answer is cancelled.
+     *
+     * @param <T> the type of the answer
+     * @param id the number of the request
+     * @param answer the answer, which does not fail
+     * @param toMessage converts the answer to a message
+     */
+    public <T> void serve(long id, CompletableFuture<T> answer, Function<T, Message> toMessage) {
+        served.put(id, answer);
+        answer.whenComplete((result, failure) -> {
+            served.remove(id, answer);
+            if (failure == null) {
+                send(id, toMessage.apply(result));
+            }
+        });
+        if (closed.get()) {
+            answer.cancel(false);
+        }
+    }
+
     /**
      * Sends a message.
      *
@@ -184,6 +207,7 @@
             Logger.debug("peer-close-failed reason=\"{}\"", e.getMessage());
         }
         ready.completeExceptionally(new PeerLostException(reason, false));
+        served.values().forEach(answer -> answer.cancel(false));
         for (Long id : pending.keySet()) {
             CompletableFuture<Message> answer = pending.remove(id);
             if (answer != null) {
@@ -255,11 +279,19 @@
             case PONG -> {
                 // The time of the last sign of life was noted already.
             }
+            case CANCEL -> onCancel(frame.id());
             case ANSWER, GOSSIP_ANSWER, SETTINGS_PUSH -> onAnswer(frame);
             default -> handler.onFrame(this, frame);
         }
     }
 
+    private void onCancel(long id) {
+        CompletableFuture<?> answer = served.get(id);
+        if (answer != null) {
+            answer.cancel(false);
+        }
+    }
+
     private void onAnswer(Frame frame) {
         CompletableFuture<Message> answer = pending.remove(frame.id());
         if (answer != null) {
