Connections: fresh one tried after 1 s of silence, go-away, cancellation

A node stops after its last call and the last request on its entry ended, each by its own deadline, in place of 10 s.

Proof: PeerConnectionTest over a link that silences open connections.

--- a/node/src/main/java/io/cranberryarch/node/Node.java
+++ b/node/src/main/java/io/cranberryarch/node/Node.java
@@ -2,7 +2,6 @@
 
 import io.cranberryarch.base.Closer;
 import io.cranberryarch.decision.membership.Member;
-import io.cranberryarch.decision.membership.MemberState;
 import io.cranberryarch.node.peer.PeerConnection;
 import io.cranberryarch.settings.NodeConfig;
 import io.cranberryarch.wire.Frame;
@@ -20,10 +19,6 @@
  */
 public final class Node implements AutoCloseable {
 
-    private static final long STOP_TIMEOUT_MS = 10_000;
-    private static final long LEAVE_NOTICE_MS = 1_000;
-    private static final long STOP_POLL_MS = 20;
-
     private final Closer closer;
     private final NodeComponent parts;
 
@@ -148,16 +143,7 @@
      */
     @Override
     public void close() throws Exception {
-        parts.members().setState(MemberState.DRAINING);
-        long endMs = System.currentTimeMillis() + STOP_TIMEOUT_MS;
-        Thread.sleep(LEAVE_NOTICE_MS);
-        while (getInFlight() > 0 && System.currentTimeMillis() < endMs) {
-            Thread.sleep(STOP_POLL_MS);
-        }
-        parts.leases().releaseAll();
-        parts.members().setState(MemberState.GONE);
-        parts.counts().flush();
-        Logger.info("node-stopped in-flight={}", getInFlight());
+        new GracefulStop(parts).run();
         closer.close();
     }
 
--- a/node/src/main/java/io/cranberryarch/node/http/HttpFaces.java
+++ b/node/src/main/java/io/cranberryarch/node/http/HttpFaces.java
@@ -1,7 +1,13 @@
 package io.cranberryarch.node.http;
 
+import io.cranberryarch.context.Refusal;
+import io.cranberryarch.context.RefusalReason;
+import io.cranberryarch.context.RequestHeaders;
 import io.cranberryarch.settings.NodeConfig;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpHeaderValue;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.HttpConfiguration;
 import org.eclipse.jetty.server.HttpConnectionFactory;
@@ -18,6 +24,7 @@
     private static final String ENTRY = "entry";
     private static final String LOCAL = "local";
     private static final String ADMIN = "admin";
+    private static final long RETRY_AFTER_MS = 1_000;
     private static final int MAX_THREADS = 32;
     private static final int MIN_THREADS = 4;
 
@@ -25,6 +32,7 @@
     private final ServerConnector entry;
     private final ServerConnector local;
     private final ServerConnector admin;
+    private final FaceHandler faces;
 
     /**
      * Creates a server that is not started.
@@ -41,7 +49,8 @@
         entry = addConnector(ENTRY, config.host(), config.entryPort());
         local = addConnector(LOCAL, config.host(), config.localPort());
         admin = addConnector(ADMIN, config.host(), config.adminPort());
-        server.setHandler(new FaceHandler(Map.of(ENTRY, entryHandler, LOCAL, localHandler, ADMIN, adminHandler)));
+        faces = new FaceHandler(Map.of(ENTRY, entryHandler, LOCAL, localHandler, ADMIN, adminHandler));
+        server.setHandler(faces);
     }
 
     /**
@@ -80,6 +89,30 @@
         return admin.getLocalPort();
     }
 
+    /** Closes the connection of each caller after its next answer. */
+    public void closeConnectionsAfterAnswers() {
+        faces.closing = true;
+    }
+
+    /** Takes no new connections of callers. */
+    public void stopAccepting() {
+        entry.close();
+    }
+
+    /** Refuses further requests of callers on open connections. */
+    public void refuseNewRequests() {
+        faces.refusing = true;
+    }
+
+    /**
+     * Counts the requests of callers and of the upstream in progress.
+     *
+     * @return the number of requests that were not answered whole
+     */
+    public int getInProgress() {
+        return faces.inProgress.get();
+    }
+
     @Override
     public void close() throws Exception {
         server.stop();
@@ -100,6 +133,9 @@
     private static final class FaceHandler extends Handler.Abstract.NonBlocking {
 
         private final Map<String, Handler> handlers;
+        private final AtomicInteger inProgress = new AtomicInteger();
+        private volatile boolean closing;
+        private volatile boolean refusing;
 
         FaceHandler(Map<String, Handler> handlers) {
             this.handlers = Map.copyOf(handlers);
@@ -108,6 +144,21 @@
         @Override
         public boolean handle(Request request, Response response, Callback callback) throws Exception {
             String name = request.getConnectionMetaData().getConnector().getName();
+            if (name.equals(ADMIN)) {
+                return handlers.get(name).handle(request, response, callback);
+            }
+            inProgress.incrementAndGet();
+            Request.addCompletionListener(request, failure -> inProgress.decrementAndGet());
+            if (closing && name.equals(ENTRY)) {
+                response.getHeaders().put(HttpHeader.CONNECTION, HttpHeaderValue.CLOSE);
+            }
+            if (refusing && name.equals(ENTRY)) {
+                Refusal refusal = Refusal.ofNotRun(RefusalReason.DRAINING, RETRY_AFTER_MS);
+                boolean isTrue = HttpBodies.isFirstAttempt(request)
+                        || !request.getHeaders().contains(RequestHeaders.IDEMPOTENCY_KEY);
+                HttpAnswers.writeRefusal(response, callback, isTrue ? refusal : refusal.toUnknown(), "");
+                return true;
+            }
             return handlers.get(name).handle(request, response, callback);
         }
     }
--- a/node/src/main/java/io/cranberryarch/node/peer/FrameWriter.java
+++ b/node/src/main/java/io/cranberryarch/node/peer/FrameWriter.java
@@ -16,41 +16,52 @@
 
     private final AsynchronousSocketChannel channel;
     private final Consumer<Throwable> onFailure;
+    private final Runnable onProgress;
     private final Deque<ByteBuffer> queue = new ArrayDeque<>();
     private int queuedBytes;
     private boolean writing;
 
-    FrameWriter(AsynchronousSocketChannel channel, Consumer<Throwable> onFailure) {
+    FrameWriter(AsynchronousSocketChannel channel, Consumer<Throwable> onFailure, Runnable onProgress) {
         this.channel = channel;
+        this.onProgress = onProgress;
         this.onFailure = onFailure;
     }
 
-    void write(ByteBuffer frame) {
+    /**
+     * Queues a frame.
+     *
+     * @param frame the frame
+     * @return whether it will be written; {@code false} if too many bytes wait already
+     */
+    boolean write(ByteBuffer frame) {
         ByteBuffer[] batch;
         synchronized (this) {
             if (queuedBytes + frame.remaining() > MAX_QUEUED_BYTES) {
-                batch = null;
-            } else {
-                queue.add(frame);
-                queuedBytes += frame.remaining();
-                if (writing) {
-                    return;
-                }
-                writing = true;
-                batch = takeBatch();
+                return false;
             }
-        }
-        if (batch == null) {
-            onFailure.accept(new PeerLostException("the peer does not read", true));
-            return;
+            queue.add(frame);
+            queuedBytes += frame.remaining();
+            if (writing) {
+                return true;
+            }
+            writing = true;
+            batch = takeBatch();
         }
         start(batch);
+        return true;
+    }
+
+    /** Checks whether all frames were handed to the system. */
+    synchronized boolean isIdle() {
+        return !writing;
     }
 
     @Override
     public void completed(Long count, ByteBuffer[] batch) {
         ByteBuffer[] next = batch;
-        if (!batch[batch.length - 1].hasRemaining()) {
+        if (batch[batch.length - 1].hasRemaining()) {
+            onProgress.run();
+        } else {
             synchronized (this) {
                 if (queue.isEmpty()) {
                     writing = false;
--- a/node/src/main/java/io/cranberryarch/node/peer/PeerConnection.java
+++ b/node/src/main/java/io/cranberryarch/node/peer/PeerConnection.java
@@ -3,6 +3,7 @@
 import io.cranberryarch.base.Clock;
 import io.cranberryarch.wire.Frame;
 import io.cranberryarch.wire.FrameCodec;
+import io.cranberryarch.wire.GoAwayMessage;
 import io.cranberryarch.wire.HelloMessage;
 import io.cranberryarch.wire.MalformedFrameException;
 import io.cranberryarch.wire.Message;
@@ -32,10 +33,14 @@
     static final long HANDSHAKE_TIMEOUT_MS = 2_000;
     /** The silence after which a ping is sent, in milliseconds. */
     static final long PING_AFTER_MS = 500;
+    /** The silence after which new requests go over a fresh connection, in milliseconds. */
+    static final long SUSPECT_AFTER_MS = 1_000;
     /** The silence after which a connection is closed, in milliseconds. */
     static final long SILENCE_TIMEOUT_MS = 2_000;
 
+    private static final String CLOSED_BY_SELF = "closed by this node";
     private static final int READ_BUFFER_BYTES = 16 * 1024;
+    private static final int MAX_HANDSHAKE_BYTES = 1_024;
 
     private final AsynchronousSocketChannel channel;
     private final Handshake handshake;
@@ -49,6 +54,10 @@
     private final AtomicBoolean closed = new AtomicBoolean();
     private final long openedAtMs;
     private volatile long heardAtMs;
+    private volatile long peerAcceptsUpTo = Long.MAX_VALUE;
+    private volatile boolean retired;
+    private long acceptsUpTo = Long.MAX_VALUE;
+    private long lastReceivedId;
     private ByteBuffer input = ByteBuffer.allocate(READ_BUFFER_BYTES);
 
     PeerConnection(AsynchronousSocketChannel channel, Handshake handshake, PeerHandler handler, Clock clock) {
@@ -56,7 +65,7 @@
         this.handshake = handshake;
         this.handler = handler;
         this.clock = clock;
-        this.writer = new FrameWriter(channel, this::onFailure);
+        this.writer = new FrameWriter(channel, this::onFailure, () -> heardAtMs = clock.monotonicMs());
         this.openedAtMs = clock.monotonicMs();
         this.heardAtMs = openedAtMs;
     }
@@ -78,10 +87,14 @@
     /**
      * Checks whether the connection can be used.
      *
-     * @return whether the peer has proved itself and the connection is open
+     * @return whether the peer has proved itself and takes new requests on this connection
      */
     public boolean isOpen() {
-        return ready.isDone() && !ready.isCompletedExceptionally() && !closed.get();
+        return ready.isDone()
+                && !ready.isCompletedExceptionally()
+                && !closed.get()
+                && !retired
+                && peerAcceptsUpTo == Long.MAX_VALUE;
     }
 
     /**
@@ -118,9 +131,14 @@
             return new PendingRequest(id, answer);
         }
         pending.put(id, answer);
-        send(id, message);
-        if (closed.get() && pending.remove(id) != null) {
-            answer.completeExceptionally(new PeerLostException("the connection was closed", true));
+        if (!trySend(id, message)) {
+            fail(id, "too many bytes wait for the peer", false);
+        }
+        if (closed.get()) {
+            fail(id, "the connection was closed", true);
+        }
+        if (id > peerAcceptsUpTo) {
+            fail(id, "the peer is leaving", false);
         }
         return new PendingRequest(id, answer);
     }
@@ -162,10 +180,8 @@
      * @param message the message, not {@code null}
      */
     public void send(long id, Message message) {
-        try {
-            writer.write(FrameCodec.encode(new Frame(id, message)));
-        } catch (IOException e) {
-            onFailure(e);
+        if (!trySend(id, message)) {
+            close("the peer does not read");
         }
     }
 
@@ -180,6 +196,8 @@
             if (nowMs - openedAtMs > HANDSHAKE_TIMEOUT_MS) {
                 close("the handshake took too long");
             }
+        } else if (retired && pending.isEmpty()) {
+            close("replaced by a fresh connection");
         } else if (silenceMs > SILENCE_TIMEOUT_MS) {
             close("the peer was silent for " + silenceMs + " ms");
         } else if (silenceMs > PING_AFTER_MS) {
@@ -187,9 +205,43 @@
         }
     }
 
+    /** Checks whether the peer was silent for so long that a fresh connection should be tried. */
+    boolean isSuspect(long nowMs) {
+        return isOpen() && nowMs - heardAtMs > SUSPECT_AFTER_MS;
+    }
+
+    /** Takes no new requests of this node any more, and closes when those that wait are answered. */
+    void retire() {
+        retired = true;
+    }
+
+    /** Tells the peer that requests after those received so far are not handled. */
+    void leave() {
+        long lastId;
+        synchronized (this) {
+            acceptsUpTo = lastReceivedId;
+            lastId = lastReceivedId;
+        }
+        send(0, new GoAwayMessage(lastId));
+    }
+
+    /** Checks whether nothing waits to be written. */
+    boolean isIdle() {
+        return closed.get() || writer.isIdle();
+    }
+
+    /** Ends the stream to the peer, which then closes the connection. */
+    void shutdownOutput() {
+        try {
+            channel.shutdownOutput();
+        } catch (IOException e) {
+            onFailure(e);
+        }
+    }
+
     @Override
     public void close() {
-        close("closed by this node");
+        close(CLOSED_BY_SELF);
     }
 
     boolean isClosed() {
@@ -200,7 +252,11 @@
         if (!closed.compareAndSet(false, true)) {
             return;
         }
-        Logger.debug("peer-closed peer={} reason=\"{}\"", getPeerInstance(), reason);
+        if (ready.isDone()) {
+            Logger.debug("peer-closed peer={} reason=\"{}\"", getPeerInstance(), reason);
+        } else if (!reason.equals(CLOSED_BY_SELF)) {
+            Logger.warn("peer-handshake-failed peer={} reason=\"{}\"", getPeerInstance(), reason);
+        }
         try {
             channel.close();
         } catch (IOException e) {
@@ -209,10 +265,23 @@
         ready.completeExceptionally(new PeerLostException(reason, false));
         served.values().forEach(answer -> answer.cancel(false));
         for (Long id : pending.keySet()) {
-            CompletableFuture<Message> answer = pending.remove(id);
-            if (answer != null) {
-                answer.completeExceptionally(new PeerLostException(reason, true));
-            }
+            fail(id, reason, true);
+        }
+    }
+
+    private void fail(long id, String reason, boolean isSent) {
+        CompletableFuture<Message> answer = pending.remove(id);
+        if (answer != null) {
+            answer.completeExceptionally(new PeerLostException(reason, isSent));
+        }
+    }
+
+    private boolean trySend(long id, Message message) {
+        try {
+            return writer.write(FrameCodec.encode(new Frame(id, message)));
+        } catch (IOException e) {
+            Logger.warn("frame-not-sent peer={} reason=\"{}\"", getPeerInstance(), e.getMessage());
+            return false;
         }
     }
 
@@ -244,12 +313,20 @@
             onFailure(e);
             return;
         }
-        makeRoom();
+        try {
+            makeRoom();
+        } catch (MalformedFrameException e) {
+            onFailure(e);
+            return;
+        }
         read();
     }
 
-    private void makeRoom() {
+    private void makeRoom() throws MalformedFrameException {
         int length = input.remaining() < FrameCodec.LENGTH_BYTES ? 0 : input.getInt(input.position());
+        if (length > MAX_HANDSHAKE_BYTES && !ready.isDone()) {
+            throw new MalformedFrameException("length " + length + " before the proof");
+        }
         int wanted = Math.max(READ_BUFFER_BYTES, length + FrameCodec.LENGTH_BYTES);
         if (wanted == input.capacity()) {
             input.compact();
@@ -280,8 +357,30 @@
                 // The time of the last sign of life was noted already.
             }
             case CANCEL -> onCancel(frame.id());
+            case GO_AWAY -> onGoAway((GoAwayMessage) frame.message());
             case ANSWER, GOSSIP_ANSWER, SETTINGS_PUSH -> onAnswer(frame);
-            default -> handler.onFrame(this, frame);
+            default -> {
+                if (accept(frame.id())) {
+                    handler.onFrame(this, frame);
+                }
+            }
+        }
+    }
+
+    private synchronized boolean accept(long id) {
+        if (id > acceptsUpTo) {
+            return false;
+        }
+        lastReceivedId = Math.max(lastReceivedId, id);
+        return true;
+    }
+
+    private void onGoAway(GoAwayMessage message) {
+        peerAcceptsUpTo = message.lastRequestId();
+        for (Long id : pending.keySet()) {
+            if (id > message.lastRequestId()) {
+                fail(id, "the peer is leaving", false);
+            }
         }
     }
 
--- a/node/src/main/java/io/cranberryarch/node/peer/PeerNetwork.java
+++ b/node/src/main/java/io/cranberryarch/node/peer/PeerNetwork.java
@@ -25,6 +25,7 @@
 public final class PeerNetwork implements AutoCloseable {
 
     private static final long TICK_MS = 250;
+    private static final long CONNECT_TIMEOUT_MS = 1_000;
 
     private final NodeIdentity identity;
     private final String secret;
@@ -34,6 +35,7 @@
     private final Map<InetSocketAddress, CompletableFuture<PeerConnection>> outgoing = new ConcurrentHashMap<>();
     private final Set<PeerConnection> connections = ConcurrentHashMap.newKeySet();
     private volatile PeerHandler handler;
+    private volatile ScheduledExecutorService timer;
 
     /**
      * Binds the port for peers.
@@ -63,10 +65,11 @@
      * Starts to accept peers.
      *
      * @param newHandler receives their messages
-     * @param timer runs the keep-alive
+     * @param newTimer runs the keep-alive
      */
-    public void start(PeerHandler newHandler, ScheduledExecutorService timer) {
+    public void start(PeerHandler newHandler, ScheduledExecutorService newTimer) {
         handler = newHandler;
+        timer = newTimer;
         server.accept(null, new AcceptHandler());
         timer.scheduleWithFixedDelay(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
     }
@@ -101,6 +104,35 @@
         return winner;
     }
 
+    /** Accepts no new peers, and tells the present ones to send no more requests. */
+    public void leave() {
+        closeServer();
+        connections.forEach(PeerConnection::leave);
+    }
+
+    /** Ends the streams to all peers. Answers that were sent before still arrive. */
+    public void shutdownOutput() {
+        connections.forEach(PeerConnection::shutdownOutput);
+    }
+
+    /**
+     * Checks whether nothing waits to be written.
+     *
+     * @return whether all messages were handed to the system
+     */
+    public boolean isIdle() {
+        return connections.stream().allMatch(PeerConnection::isIdle);
+    }
+
+    /**
+     * Checks whether a connection is open.
+     *
+     * @return whether there is any
+     */
+    public boolean hasConnections() {
+        return connections.stream().anyMatch(connection -> !connection.isClosed());
+    }
+
     @Override
     public void close() throws IOException {
         server.close();
@@ -119,12 +151,51 @@
     private void open(InetSocketAddress address, CompletableFuture<PeerConnection> target) {
         try {
             AsynchronousSocketChannel channel = AsynchronousSocketChannel.open(group);
+            var timeout =
+                    timer.schedule(() -> closeUnconnected(channel, target), CONNECT_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+            target.whenComplete((connection, failure) -> timeout.cancel(false));
             channel.connect(address, null, new ConnectHandler(channel, target));
         } catch (IOException | IllegalArgumentException | UnsupportedOperationException e) {
             target.completeExceptionally(new PeerLostException(String.valueOf(e.getMessage()), false));
         }
     }
 
+    private static void closeUnconnected(AsynchronousSocketChannel channel, CompletableFuture<PeerConnection> target) {
+        if (target.completeExceptionally(new PeerLostException("no connection in time", false))) {
+            try {
+                channel.close();
+            } catch (IOException e) {
+                Logger.debug("peer-close-failed reason=\"{}\"", e.getMessage());
+            }
+        }
+    }
+
+    private void closeServer() {
+        try {
+            server.close();
+        } catch (IOException e) {
+            Logger.debug("peer-server-close-failed reason=\"{}\"", e.getMessage());
+        }
+    }
+
+    /** Tries a fresh connection where the present one is silent. Requests that wait on the old one stay there. */
+    private void replaceSuspects(long nowMs) {
+        for (Map.Entry<InetSocketAddress, CompletableFuture<PeerConnection>> entry : outgoing.entrySet()) {
+            CompletableFuture<PeerConnection> known = entry.getValue();
+            if (!known.isDone()
+                    || known.isCompletedExceptionally()
+                    || !known.join().isSuspect(nowMs)) {
+                continue;
+            }
+            CompletableFuture<PeerConnection> fresh = new CompletableFuture<>();
+            if (outgoing.replace(entry.getKey(), known, fresh)) {
+                Logger.warn("peer-silent peer={}", known.join().getPeerInstance());
+                known.join().retire();
+                open(entry.getKey(), fresh);
+            }
+        }
+    }
+
     private PeerConnection register(AsynchronousSocketChannel channel, boolean isInitiator) throws IOException {
         channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
         Handshake handshake = new Handshake(secret, identity, isInitiator);
@@ -136,6 +207,7 @@
 
     private void tick() {
         long nowMs = clock.monotonicMs();
+        replaceSuspects(nowMs);
         for (PeerConnection connection : connections) {
             connection.tick(nowMs);
             if (connection.isClosed()) {
--- /dev/null
+++ b/node/src/test/java/io/cranberryarch/node/peer/PeerConnectionTest.java
@@ -0,0 +1,193 @@
+package io.cranberryarch.node.peer;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertNotSame;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.cranberryarch.base.Clock;
+import io.cranberryarch.base.Closer;
+import io.cranberryarch.context.CallRequest;
+import io.cranberryarch.context.CallResult;
+import io.cranberryarch.context.RequestContext;
+import io.cranberryarch.node.FleetFixture;
+import io.cranberryarch.node.NodeIdentity;
+import io.cranberryarch.settings.Priority;
+import io.cranberryarch.wire.AnswerMessage;
+import io.cranberryarch.wire.CallMessage;
+import io.cranberryarch.wire.CancelMessage;
+import io.cranberryarch.wire.Frame;
+import io.cranberryarch.wire.FrameCodec;
+import io.cranberryarch.wire.HelloMessage;
+import io.cranberryarch.wire.Message;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.channels.AsynchronousChannelGroup;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class PeerConnectionTest {
+
+    private static final String SECRET = "a-secret-for-the-tests";
+    private static final int MAX_DELAY_MS = 50;
+
+    private final Closer closer = new Closer();
+    private final Map<Long, CompletableFuture<CallResult>> received = new ConcurrentHashMap<>();
+    private ScheduledThreadPoolExecutor timer;
+    private PeerNetwork client;
+    private PeerNetwork server;
+    private FaultyLink link;
+
+    @BeforeEach
+    void start() throws Exception {
+        timer = new ScheduledThreadPoolExecutor(1);
+        closer.add(timer::shutdownNow);
+        server = open("server", SECRET);
+        client = open("client", SECRET);
+        link = closer.add(new FaultyLink(server.getPort()));
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        closer.close();
+    }
+
+    @Test
+    void silentConnectionIsReplacedWhileItsRequestsFailAsSent() throws Exception {
+        PeerConnection old = client.connect(link.getAddress()).get();
+        Message call = toCall("hold", new byte[1]);
+        CompletableFuture<Message> held = old.request(call).answer();
+        FleetFixture.await(() -> received.containsKey(1L));
+        link.silence();
+        FleetFixture.await(() -> link.getConnections() == 2);
+        PeerConnection fresh = client.connect(link.getAddress()).get();
+        assertNotSame(old, fresh);
+        assertArrayEquals(new byte[5], ask(fresh, new byte[5]).get());
+        ExecutionException lost = assertThrows(ExecutionException.class, () -> held.get(10, TimeUnit.SECONDS));
+        assertTrue(assertInstanceOf(PeerLostException.class, lost.getCause()).isSent());
+        FleetFixture.await(() -> received.get(1L).isCancelled());
+    }
+
+    @Test
+    void manyLargeAnswersOutOfOrderReachTheirOwnRequests() throws Exception {
+        PeerConnection connection = client.connect(link.getAddress()).get();
+        Random random = new Random(1);
+        List<byte[]> bodies = new ArrayList<>();
+        List<CompletableFuture<byte[]>> answers = new ArrayList<>();
+        for (int i = 0; i < 300; i++) {
+            byte[] body = new byte[random.nextInt(i % 10 == 0 ? 1_000_000 : 10_000)];
+            random.nextBytes(body);
+            bodies.add(body);
+            answers.add(ask(connection, body));
+        }
+        for (int i = 0; i < answers.size(); i++) {
+            assertArrayEquals(bodies.get(i), answers.get(i).get(15, TimeUnit.SECONDS));
+        }
+    }
+
+    @Test
+    void cancelledRequestIsCancelledAtThePeerAndItsLateAnswerIsDropped() throws Exception {
+        PeerConnection connection = client.connect(link.getAddress()).get();
+        PeerConnection.PendingRequest given = connection.request(toCall("hold", new byte[1]));
+        FleetFixture.await(() -> received.containsKey(given.id()));
+        connection.forget(given.id());
+        connection.send(given.id(), new CancelMessage());
+        FleetFixture.await(() -> received.get(given.id()).isCancelled());
+        PeerConnection.PendingRequest late = connection.request(toCall("hold", new byte[1]));
+        FleetFixture.await(() -> received.containsKey(late.id()));
+        connection.forget(late.id());
+        received.get(late.id()).complete(toResult(new byte[7]));
+        assertArrayEquals(new byte[5], ask(connection, new byte[5]).get(), "an answer to another request");
+        assertFalse(late.answer().isDone());
+    }
+
+    @Test
+    void requestAfterThePeerLeftIsNotSentAndEarlierOnesAreAnswered() throws Exception {
+        PeerConnection connection = client.connect(link.getAddress()).get();
+        PeerConnection.PendingRequest early = connection.request(toCall("hold", new byte[1]));
+        FleetFixture.await(() -> received.containsKey(early.id()));
+        server.leave();
+        PeerConnection.PendingRequest late = connection.request(toCall("hold", new byte[1]));
+        ExecutionException lost =
+                assertThrows(ExecutionException.class, () -> late.answer().get(10, TimeUnit.SECONDS));
+        assertFalse(assertInstanceOf(PeerLostException.class, lost.getCause()).isSent());
+        assertFalse(received.containsKey(late.id()));
+        received.get(early.id()).complete(toResult(new byte[3]));
+        server.shutdownOutput();
+        assertEquals(3, ((AnswerMessage) early.answer().get()).result().body().length);
+        FleetFixture.await(() -> !client.hasConnections());
+    }
+
+    @Test
+    void wrongSecretAndOldVersionAreRejected() throws Exception {
+        PeerNetwork stranger = open("stranger", "another-secret-for-the-tests");
+        assertThrows(
+                ExecutionException.class,
+                () -> stranger.connect(toAddress(server)).get());
+        HelloMessage old = new HelloMessage(FrameCodec.VERSION + 1, "old", 1, new byte[16]);
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), server.getPort())) {
+            socket.getOutputStream().write(FrameCodec.encode(new Frame(0, old)).array());
+            byte[] hello = socket.getInputStream().readAllBytes();
+            assertEquals(hello.length, FrameCodec.LENGTH_BYTES + hello[3], "no frame follows the hello");
+        }
+        FleetFixture.await(() -> !server.hasConnections());
+    }
+
+    private PeerNetwork open(String name, String secret) throws Exception {
+        AsynchronousChannelGroup group = AsynchronousChannelGroup.withThreadPool(Executors.newFixedThreadPool(2));
+        closer.add(group::shutdownNow);
+        InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+        NodeIdentity identity = new NodeIdentity(name, 1, "zone-a", "orders");
+        PeerNetwork network = closer.add(new PeerNetwork(identity, secret, Clock.system(), group, any));
+        network.start(this::onFrame, timer);
+        return network;
+    }
+
+    private void onFrame(PeerConnection connection, Frame frame) {
+        CallRequest call = ((CallMessage) frame.message()).request();
+        CompletableFuture<CallResult> answer = new CompletableFuture<>();
+        if (call.target().equals("hold")) {
+            received.put(frame.id(), answer);
+        } else {
+            long delayMs = Math.floorMod(frame.id() * 7, (long) MAX_DELAY_MS);
+            timer.schedule(() -> answer.complete(toResult(call.body())), delayMs, TimeUnit.MILLISECONDS);
+        }
+        connection.serve(frame.id(), answer, AnswerMessage::new);
+    }
+
+    private static CompletableFuture<byte[]> ask(PeerConnection connection, byte[] body) {
+        return connection
+                .request(toCall("echo", body))
+                .answer()
+                .thenApply(message -> ((AnswerMessage) message).result().body());
+    }
+
+    private static CallMessage toCall(String target, byte[] body) {
+        RequestContext context = new RequestContext("1", "acme", "order", Priority.NORMAL, true, Optional.empty(), 0);
+        return new CallMessage(new CallRequest(context, "orders", 1_000, 0, "POST", target, List.of(), body));
+    }
+
+    private static CallResult toResult(byte[] body) {
+        return new CallResult(200, List.of(), body, Optional.empty(), 0, Optional.empty());
+    }
+
+    private static InetSocketAddress toAddress(PeerNetwork network) throws Exception {
+        return new InetSocketAddress(InetAddress.getLoopbackAddress(), network.getPort());
+    }
+}
--- a/wire/src/main/java/io/cranberryarch/wire/MessageType.java
+++ b/wire/src/main/java/io/cranberryarch/wire/MessageType.java
@@ -27,7 +27,9 @@
     /** Asks for settings after a version. */
     SETTINGS_PULL(9, SettingsPullMessage::read),
     /** Changes of the settings, or a whole tree. */
-    SETTINGS_PUSH(10, SettingsPushMessage::read);
+    SETTINGS_PUSH(10, SettingsPushMessage::read),
+    /** Asks to send no more requests on this connection. */
+    GO_AWAY(30, GoAwayMessage::read);
 
     private static final MessageType[] BY_CODE = new MessageType[64];
 
