--- a/wire/src/main/java/io/cranberryarch/wire/MessageType.java
+++ b/wire/src/main/java/io/cranberryarch/wire/MessageType.java
@@ -31,7 +31,9 @@
     /** Asks the allocator of a zone for tokens of a client account. */
     TOKEN_REQUEST(20, TokenRequestMessage::read),
     /** Answers a request for tokens. */
-    TOKEN_ANSWER(21, TokenAnswerMessage::read);
+    TOKEN_ANSWER(21, TokenAnswerMessage::read),
+    /** Asks to send no more requests on this connection. */
+    GO_AWAY(30, GoAwayMessage::read);
 
     private static final MessageType[] BY_CODE = new MessageType[64];
 
