Bound retries by service too, return unsent tokens, jitter Retry-After

Cause: tokens of an attempt that was never sent were lost; a failing service could draw the full budget of every request; refused callers came back together after the same second. Ruled out: lending all tokens (parallel siblings get none), a retry ratio alone (bounds a mean, not one request). Conclusion: retries of a request stay within its root budget in 500 random trees up to 10 deep.

--- a/node/src/main/java/io/cranberryarch/node/call/CallService.java
+++ b/node/src/main/java/io/cranberryarch/node/call/CallService.java
@@ -9,6 +9,7 @@
 import io.cranberryarch.decision.membership.Member;
 import io.cranberryarch.decision.retry.RetryBudget;
 import io.cranberryarch.decision.retry.RetryDecision;
+import io.cranberryarch.decision.retry.RetryRatio;
 import io.cranberryarch.decision.routing.InstanceChoice;
 import io.cranberryarch.node.member.MemberService;
 import io.cranberryarch.node.peer.PeerConnection;
@@ -42,6 +43,7 @@
     private final Gate gate;
     private final ScheduledExecutorService timer;
     private final Map<String, LoadReport> loads = new ConcurrentHashMap<>();
+    private final Map<String, RetryRatio> ratios = new ConcurrentHashMap<>();
 
     /**
      * Creates the service.
@@ -68,7 +70,11 @@
      * @return the final answer, never a failed future
      */
     public CompletableFuture<CallResult> send(CallRequest call) {
-        Attempts attempts = new Attempts(call, clock.monotonicMs() + call.timeoutMs());
+        RetryRatio ratio = ratios.computeIfAbsent(call.service(), unused -> new RetryRatio());
+        synchronized (ratio) {
+            ratio.addFirstAttempt();
+        }
+        Attempts attempts = new Attempts(call, clock.monotonicMs() + call.timeoutMs(), ratio);
         attempts.next();
         return attempts.result;
     }
@@ -99,7 +105,7 @@
         CompletableFuture<CallResult> result = new CompletableFuture<>();
         network.connect(MemberService.toAddress(member)).whenComplete((connection, failure) -> {
             if (failure != null) {
-                result.complete(toLost(failure));
+                result.complete(toLost(failure, call));
             } else {
                 exchange(connection, call, result);
             }
@@ -119,7 +125,7 @@
                 TimeUnit.MILLISECONDS);
         pending.answer().whenComplete((message, failure) -> {
             timeout.cancel(false);
-            result.complete(failure != null ? toLost(failure) : toResult(message));
+            result.complete(failure != null ? toLost(failure, call) : toResult(message));
         });
     }
 
@@ -130,14 +136,13 @@
         return refuse(Refusal.ofUnknown(RefusalReason.UPSTREAM_FAILED, RETRY_AFTER_MS), 0);
     }
 
-    private static CallResult toLost(Throwable failure) {
+    private static CallResult toLost(Throwable failure, CallRequest call) {
         Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
-        boolean sent = !(cause instanceof PeerLostException lost) || lost.isSent();
-        return refuse(
-                sent
-                        ? Refusal.ofUnknown(RefusalReason.PEER_LOST, RETRY_AFTER_MS)
-                        : Refusal.ofNotRun(RefusalReason.PEER_LOST, RETRY_AFTER_MS),
-                0);
+        boolean isSent = !(cause instanceof PeerLostException lost) || lost.isSent();
+        if (isSent) {
+            return refuse(Refusal.ofUnknown(RefusalReason.PEER_LOST, RETRY_AFTER_MS), 0);
+        }
+        return refuse(Refusal.ofNotRun(RefusalReason.PEER_LOST, RETRY_AFTER_MS), call.retryTokens());
     }
 
     private static CallResult refuse(Refusal refusal, int retryTokens) {
@@ -155,13 +160,15 @@
         private final CallRequest call;
         private final long deadlineMs;
         private final RetryBudget budget;
+        private final RetryRatio ratio;
         private final Set<String> tried = new HashSet<>();
         private final CompletableFuture<CallResult> result = new CompletableFuture<>();
 
-        Attempts(CallRequest call, long deadlineMs) {
+        Attempts(CallRequest call, long deadlineMs, RetryRatio ratio) {
             this.call = call;
             this.deadlineMs = deadlineMs;
             this.budget = new RetryBudget(call.retryTokens());
+            this.ratio = ratio;
         }
 
         void next() {
@@ -183,6 +190,12 @@
             attempt(member.get(), attempt).whenComplete((answer, failure) -> onAnswer(member.get(), answer, failure));
         }
 
+        private boolean trySpend() {
+            synchronized (ratio) {
+                return budget.getTokens() > 0 && ratio.trySpend() && budget.trySpend();
+            }
+        }
+
         private void onAnswer(Member member, CallResult answer, Throwable failure) {
             if (failure != null) {
                 Logger.error(
@@ -197,7 +210,7 @@
                     && RetryDecision.isAllowed(
                             answer.refusal().get(), call.context().idempotent())
                     && deadlineMs > clock.monotonicMs()
-                    && budget.trySpend();
+                    && trySpend();
             if (isAgain) {
                 next();
                 return;
--- a/node/src/main/java/io/cranberryarch/node/http/HttpAnswers.java
+++ b/node/src/main/java/io/cranberryarch/node/http/HttpAnswers.java
@@ -7,8 +7,10 @@
 import io.cranberryarch.context.HeaderField;
 import io.cranberryarch.context.Refusal;
 import io.cranberryarch.context.RequestHeaders;
+import io.cranberryarch.decision.retry.RetryAfter;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.ThreadLocalRandom;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.server.Response;
@@ -38,12 +40,14 @@
     static void writeRefusal(Response response, Callback callback, Refusal refusal, String requestId) {
         response.getHeaders().put(RequestHeaders.REQUEST_ID, requestId);
         response.getHeaders().put(RequestHeaders.EXECUTION, refusal.execution().toText());
-        if (refusal.retryAfterMs() > 0) {
-            long seconds = Math.max(1, (refusal.retryAfterMs() + MS_PER_SECOND - 1) / MS_PER_SECOND);
+        long retryAfterMs = RetryAfter.toJitteredMs(
+                refusal.retryAfterMs(), ThreadLocalRandom.current().nextLong());
+        if (retryAfterMs > 0) {
+            long seconds = 1 + (retryAfterMs - 1) / MS_PER_SECOND;
             response.getHeaders().put(RequestHeaders.RETRY_AFTER, seconds);
         }
-        RefusalBody body = new RefusalBody(
-                refusal.reason().toText(), refusal.execution().toText(), requestId, refusal.retryAfterMs());
+        RefusalBody body =
+                new RefusalBody(refusal.reason().toText(), refusal.execution().toText(), requestId, retryAfterMs);
         writeJson(response, callback, refusal.reason().getStatus(), body);
     }
 
