Add admission control and a model of call graphs to measure it

Cause: gates admitted up to the slots that the upstream claims, without priority, fair shares or feedback; nothing measured overload. The decisions: levels by priority and request hash, a concurrency limit from observed latency, a short queue, shed thresholds by demand, and thresholds kept where calls start. The node does not use them yet.

--- a/app/src/main/java/io/cranberryarch/app/Main.java
+++ b/app/src/main/java/io/cranberryarch/app/Main.java
@@ -1,5 +1,6 @@
 package io.cranberryarch.app;
 
+import io.cranberryarch.experiment.ExperimentCommand;
 import io.cranberryarch.operator.AccountCommand;
 import io.cranberryarch.operator.ApiFailure;
 import io.cranberryarch.operator.CheckCommand;
@@ -34,6 +35,7 @@
             DrainCommand.class,
             ReportCommand.class,
             StandinCommand.class,
+            ExperimentCommand.class,
             HelpCommand.class,
             AutoComplete.GenerateCompletion.class
         })
--- /dev/null
+++ b/experiment/src/main/java/io/cranberryarch/experiment/ModelNode.java
@@ -0,0 +1,41 @@
+package io.cranberryarch.experiment;
+
+import io.cranberryarch.decision.admission.AdmissionLevel;
+import io.cranberryarch.decision.admission.CallerThresholds;
+import java.util.HashMap;
+import java.util.Map;
+
+/** The side of a node from which calls start. */
+final class ModelNode {
+
+    private static final String KIND = "request";
+
+    private final Simulation simulation;
+    private final boolean isShedding;
+    private final CallerThresholds thresholds = new CallerThresholds();
+    private final Map<ModelInstance, Integer> loads = new HashMap<>();
+
+    ModelNode(Simulation simulation, boolean isShedding) {
+        this.simulation = simulation;
+        this.isShedding = isShedding;
+    }
+
+    int toThreshold(String service, ModelRequest request) {
+        return isShedding ? thresholds.toThreshold(toKey(service, request), simulation.nowMs()) : AdmissionLevel.LEVELS;
+    }
+
+    ModelInstance pick(ModelService service) {
+        ModelInstance first = service.pick(simulation.random().nextInt());
+        ModelInstance second = service.pick(simulation.random().nextInt());
+        return loads.getOrDefault(second, 0) < loads.getOrDefault(first, 0) ? second : first;
+    }
+
+    void onAnswer(String service, ModelInstance instance, ModelRequest request, ModelAnswer answer) {
+        loads.put(instance, instance.getInFlight());
+        thresholds.report(toKey(service, request), answer.threshold(), simulation.nowMs());
+    }
+
+    private static CallerThresholds.Key toKey(String service, ModelRequest request) {
+        return new CallerThresholds.Key(service, KIND, request.account().name());
+    }
+}
--- /dev/null
+++ b/experiment/src/main/java/io/cranberryarch/experiment/Simulation.java
@@ -0,0 +1,65 @@
+package io.cranberryarch.experiment;
+
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+
+/**
+ * Runs events in the order of their times, and draws random numbers from a seed. Not thread-safe.
+ *
+ * <pre>
+ * Simulation simulation = new Simulation(1);
+ * simulation.after(1_500, () -&gt; arrive());
+ * simulation.run(10_000_000);
+ * </pre>
+ */
+final class Simulation {
+
+    private static final long MICROS_PER_MS = 1_000;
+
+    private record Event(long atMicros, long order, Runnable action) implements Comparable<Event> {
+
+        @Override
+        public int compareTo(Event other) {
+            int byTime = Long.compare(atMicros, other.atMicros);
+            return byTime != 0 ? byTime : Long.compare(order, other.order);
+        }
+    }
+
+    private final PriorityQueue<Event> events = new PriorityQueue<>();
+    private final SplittableRandom random;
+    private long nowMicros;
+    private long nextOrder;
+
+    Simulation(long seed) {
+        this.random = new SplittableRandom(seed);
+    }
+
+    void after(long delayMicros, Runnable action) {
+        events.add(new Event(nowMicros + Math.max(0, delayMicros), nextOrder++, action));
+    }
+
+    void run(long untilMicros) {
+        while (!events.isEmpty() && events.peek().atMicros <= untilMicros) {
+            Event event = events.poll();
+            nowMicros = event.atMicros;
+            event.action.run();
+        }
+    }
+
+    long nowMicros() {
+        return nowMicros;
+    }
+
+    long nowMs() {
+        return nowMicros / MICROS_PER_MS;
+    }
+
+    SplittableRandom random() {
+        return random;
+    }
+
+    /** Draws from an exponential distribution. */
+    long toExponential(double meanMicros) {
+        return Math.round(-meanMicros * Math.log(1 - random.nextDouble()));
+    }
+}
