--- a/node/src/main/java/io/cranberryarch/node/http/KeyIssuer.java
+++ b/node/src/main/java/io/cranberryarch/node/http/KeyIssuer.java
@@ -4,8 +4,8 @@
 import io.cranberryarch.context.Refusal;
 import io.cranberryarch.context.RefusalReason;
 import io.cranberryarch.node.call.KeyService;
-import io.cranberryarch.node.call.RateService;
 import io.cranberryarch.node.config.SettingsService;
+import io.cranberryarch.node.rate.RateService;
 import io.cranberryarch.settings.ClientAccount;
 import io.cranberryarch.settings.Route;
 import java.util.List;
@@ -41,31 +41,38 @@
 
     void handle(Request request, Response response, Callback callback) {
         Optional<ClientAccount> account = credentials.authenticate(request);
-        Optional<Refusal> refusal = account.isEmpty()
-                ? Optional.of(Refusal.ofNotRun(RefusalReason.KEY_REJECTED, 0))
-                : rates.charge(account.get());
-        if (refusal.isPresent()) {
-            HttpAnswers.writeRefusal(response, callback, refusal.get(), "");
+        if (account.isEmpty()) {
+            refuse(response, callback, Refusal.ofNotRun(RefusalReason.KEY_REJECTED, 0));
             return;
         }
+        rates.charge(account.get())
+                .thenAccept(refusal -> refusal.ifPresentOrElse(
+                        overRate -> refuse(response, callback, overRate),
+                        () -> issue(request, response, callback, account.get())));
+    }
+
+    private void issue(Request request, Response response, Callback callback, ClientAccount account) {
         Fields query = Request.extractQueryParameters(request);
         Optional<Route> route = Optional.ofNullable(query.getValue("path"))
                 .flatMap(path -> settings.getFleet().findRoute(path));
         String count = Optional.ofNullable(query.getValue("count")).orElse("1");
         if (route.isEmpty() || !request.getMethod().equals("POST") || !isCount(count)) {
             RefusalReason reason = route.isEmpty() ? RefusalReason.NO_ROUTE : RefusalReason.BAD_REQUEST;
-            HttpAnswers.writeRefusal(response, callback, Refusal.ofNotRun(reason, 0), "");
+            refuse(response, callback, Refusal.ofNotRun(reason, 0));
             return;
         }
-        List<String> issued = keys.issue(route.get().service(), account.get().name(), Integer.parseInt(count));
+        List<String> issued = keys.issue(route.get().service(), account.name(), Integer.parseInt(count));
         if (issued.isEmpty()) {
-            Refusal none = Refusal.ofNotRun(RefusalReason.NO_UPSTREAM, RETRY_AFTER_MS);
-            HttpAnswers.writeRefusal(response, callback, none, "");
+            refuse(response, callback, Refusal.ofNotRun(RefusalReason.NO_UPSTREAM, RETRY_AFTER_MS));
             return;
         }
         HttpAnswers.writeJson(response, callback, 200, new IssuedKeysBody(issued));
     }
 
+    private static void refuse(Response response, Callback callback, Refusal refusal) {
+        HttpAnswers.writeRefusal(response, callback, refusal, "");
+    }
+
     private static boolean isCount(String text) {
         return text.matches("[1-9]\\d{0,2}") && Integer.parseInt(text) <= KeyService.MAX_ISSUED;
     }
