--- a/node/src/main/java/io/cranberryarch/node/Node.java
+++ b/node/src/main/java/io/cranberryarch/node/Node.java
@@ -144,7 +144,9 @@
             Thread.sleep(STOP_POLL_MS);
         }
         parts.members().setState(MemberState.GONE);
-        parts.counts().flush();
+        if (!parts.counts().finish()) {
+            Logger.warn("counts-lost increments={}", parts.counts().getWaiting());
+        }
         Logger.info("node-stopped in-flight={}", parts.gate().getLoad().inFlight());
         closer.close();
     }
--- a/node/src/main/java/io/cranberryarch/node/NodeModule.java
+++ b/node/src/main/java/io/cranberryarch/node/NodeModule.java
@@ -19,6 +19,7 @@
 import io.cranberryarch.node.metrics.NodeMetrics;
 import io.cranberryarch.node.peer.PeerNetwork;
 import io.cranberryarch.node.report.CountsReporter;
+import io.cranberryarch.node.report.CountsStore;
 import io.cranberryarch.platform.HttpPlatform;
 import io.cranberryarch.platform.SettingsLog;
 import io.cranberryarch.settings.NodeConfig;
@@ -180,8 +181,14 @@
 
     @Provides
     @Singleton
-    CountsReporter provideCounts(NodeIdentity identity, HttpPlatform platform, Clock clock) {
-        return new CountsReporter(identity, platform, clock);
+    CountsStore provideCountsStore(HttpPlatform platform, Clock clock) {
+        return new CountsStore(platform, platform, clock);
+    }
+
+    @Provides
+    @Singleton
+    CountsReporter provideCounts(NodeIdentity identity, HttpPlatform platform, CountsStore counts, Clock clock) {
+        return new CountsReporter(identity, platform, counts, clock);
     }
 
     @Provides
@@ -209,7 +216,7 @@
             MemberService members,
             Gate gate,
             NodeMetrics metrics,
-            CountsReporter counts,
+            CountsStore counts,
             @Named("blocking") ScheduledThreadPoolExecutor blocking) {
         return new AdminHandler(settings, members, gate, metrics, counts, config.ownerTokenSha256(), blocking);
     }
--- a/node/src/main/java/io/cranberryarch/node/http/AdminHandler.java
+++ b/node/src/main/java/io/cranberryarch/node/http/AdminHandler.java
@@ -5,6 +5,7 @@
 import io.cranberryarch.api.ApiJson;
 import io.cranberryarch.api.ChangeBody;
 import io.cranberryarch.api.ChangeRequest;
+import io.cranberryarch.api.CountsBody;
 import io.cranberryarch.api.EditBody;
 import io.cranberryarch.api.ErrorBody;
 import io.cranberryarch.api.HistoryBody;
@@ -18,7 +19,7 @@
 import io.cranberryarch.node.config.SettingsService;
 import io.cranberryarch.node.member.MemberService;
 import io.cranberryarch.node.metrics.NodeMetrics;
-import io.cranberryarch.node.report.CountsReporter;
+import io.cranberryarch.node.report.CountsStore;
 import io.cranberryarch.platform.PlatformException;
 import io.cranberryarch.settings.OperatorGrant;
 import io.cranberryarch.settings.SettingChange;
@@ -46,7 +47,7 @@
     private final MemberService members;
     private final Gate gate;
     private final NodeMetrics metrics;
-    private final CountsReporter counts;
+    private final CountsStore counts;
     private final Optional<String> ownerTokenSha256;
     private final Executor blocking;
 
@@ -66,7 +67,7 @@
             MemberService members,
             Gate gate,
             NodeMetrics metrics,
-            CountsReporter counts,
+            CountsStore counts,
             Optional<String> ownerTokenSha256,
             Executor blocking) {
         this.settings = settings;
@@ -111,7 +112,7 @@
                         case "GET /v1/status" -> toStatus();
                         case "POST /v1/drain" -> drain(operator);
                         case "POST /v1/withdraw" -> withdraw(getParameter(request, "key", ""), operator);
-                        case "GET /v1/counts" -> counts.readDay(getParameter(request, "day", ""));
+                        case "GET /v1/counts" -> readCounts(getParameter(request, "day", ""));
                         default -> throw new ApiException(404, "no-such-resource", List.of(path));
                     };
             HttpAnswers.writeJson(response, callback, 200, result);
@@ -126,6 +127,13 @@
         }
     }
 
+    private CountsBody readCounts(String day) throws ApiException, PlatformException {
+        if (!CountsStore.isDay(day)) {
+            throw new ApiException(400, "bad-request", List.of("day: expected YYYY-MM-DD"));
+        }
+        return counts.readDay(day);
+    }
+
     private SettingsBody readSettings(String prefix, OperatorGrant operator) throws ApiException {
         checkReadable(prefix, operator);
         return new SettingsBody(
--- a/node/src/main/java/io/cranberryarch/node/http/EntryHandler.java
+++ b/node/src/main/java/io/cranberryarch/node/http/EntryHandler.java
@@ -13,6 +13,7 @@
 import io.cranberryarch.node.config.SettingsService;
 import io.cranberryarch.node.metrics.NodeMetrics;
 import io.cranberryarch.node.report.CountsReporter;
+import io.cranberryarch.node.report.Outcomes;
 import io.cranberryarch.settings.ClientAccount;
 import io.cranberryarch.settings.Route;
 import java.util.Optional;
@@ -157,7 +158,7 @@
             String kind = route.map(Route::kind).orElse("none");
             long micros = TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - startNanos);
             metrics.record(account, kind, outcome, micros);
-            counts.record(account, kind, outcome);
+            counts.record(account, kind, Outcomes.of(result));
             Logger.debug("request request={} account={} class={} outcome={}", requestId, account, kind, outcome);
             HttpAnswers.write(response, callback, result, requestId);
         }
--- a/node/src/main/java/io/cranberryarch/node/report/CountsReporter.java
+++ b/node/src/main/java/io/cranberryarch/node/report/CountsReporter.java
@@ -1,23 +1,14 @@
 package io.cranberryarch.node.report;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
-import io.cranberryarch.api.ApiJson;
-import io.cranberryarch.api.CountsBody;
+import io.cranberryarch.api.Outcome;
 import io.cranberryarch.base.Clock;
 import io.cranberryarch.node.NodeIdentity;
 import io.cranberryarch.platform.ObjectStore;
 import io.cranberryarch.platform.PlatformException;
-import java.io.IOException;
-import java.time.Instant;
-import java.time.ZoneOffset;
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.Deque;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.tinylog.Logger;
 
@@ -25,41 +16,51 @@
  * Counts outcomes and writes them to the object store in increments.
  *
  * <p>Each increment has a name of its own made of instance, incarnation and sequence, so that writing it again counts
- * it once. Increments are kept and written again through an outage. Thread-safe.
+ * it once. Increments are kept and written again through an outage. Thread-safe; counting never waits for the store.
  */
 public final class CountsReporter {
 
-    private static final String PREFIX = "counts/";
-    private static final long FLUSH_INTERVAL_MS = 1_000;
-    private static final int MAX_WAITING = 10_000;
+    private static final long FLUSH_INTERVAL_MS = 10_000;
+    private static final int SHARDS = 16;
+    private static final int FINISH_ATTEMPTS = 3;
 
-    private final NodeIdentity identity;
     private final ObjectStore store;
+    private final CountsStore counts;
     private final Clock clock;
-    private final Map<Series, Long> counts = new HashMap<>();
-    private final Deque<Increment> waiting = new ArrayDeque<>();
-    private long sequence;
+    private final CountsShard[] shards = new CountsShard[SHARDS];
+    private final IncrementQueue queue;
+    private final Object flushLock = new Object();
+    private boolean isFailing;
 
     /**
      * Creates a reporter.
      *
      * @param identity who this node is
      * @param store the object store
+     * @param counts sums the increments of past hours
      * @param clock the clock
      */
-    public CountsReporter(NodeIdentity identity, ObjectStore store, Clock clock) {
-        this.identity = identity;
+    public CountsReporter(NodeIdentity identity, ObjectStore store, CountsStore counts, Clock clock) {
         this.store = store;
+        this.counts = counts;
         this.clock = clock;
+        this.queue = new IncrementQueue(identity);
+        for (int i = 0; i < SHARDS; i++) {
+            shards[i] = new CountsShard();
+        }
     }
 
     /**
-     * Starts to write increments.
+     * Starts to write increments at a fixed interval, and to sum those of past hours.
      *
      * @param blocking runs the writes, may block
      */
     public void start(ScheduledExecutorService blocking) {
-        blocking.scheduleWithFixedDelay(this::flush, FLUSH_INTERVAL_MS, FLUSH_INTERVAL_MS, TimeUnit.MILLISECONDS);
+        ThreadLocalRandom random = ThreadLocalRandom.current();
+        blocking.scheduleWithFixedDelay(
+                this::flush, random.nextLong(FLUSH_INTERVAL_MS), FLUSH_INTERVAL_MS, TimeUnit.MILLISECONDS);
+        blocking.scheduleWithFixedDelay(
+                this::compact, random.nextLong(CountsNames.HOUR_MS), CountsNames.HOUR_MS, TimeUnit.MILLISECONDS);
     }
 
     /**
@@ -69,88 +70,83 @@
      * @param kind the kind of request
      * @param outcome the outcome
      */
-    public synchronized void record(String account, String kind, String outcome) {
-        counts.merge(new Series(account, kind, outcome), 1L, Long::sum);
+    public void record(String account, String kind, Outcome outcome) {
+        long minute = clock.wallMs() / CountsNames.MINUTE_MS;
+        int shard = (int) (Thread.currentThread().getId() % SHARDS);
+        shards[shard].add(new CountsShard.Series(minute, account, kind, outcome));
     }
 
-    /** Writes what was counted. Blocks. */
-    public void flush() {
-        cut();
-        for (Increment next = waiting.peek(); next != null; next = waiting.peek()) {
-            try {
-                store.put(next.name, next.content);
-                waiting.remove();
-            } catch (PlatformException e) {
-                Logger.debug("counts-kept waiting={} reason=\"{}\"", waiting.size(), e.getMessage());
-                return;
-            }
+    /**
+     * Writes what was counted. Blocks.
+     *
+     * @return whether the store has everything
+     */
+    public boolean flush() {
+        synchronized (flushLock) {
+            collect();
+            return write();
         }
     }
 
     /**
-     * Sums all increments of a day. Blocks.
+     * Writes what was counted and says that nothing will follow. Blocks.
      *
-     * @param day the day as YYYY-MM-DD
-     * @return the sums
-     * @throws PlatformException if the store gives no answer
+     * @return whether the store has everything
      */
-    public CountsBody readDay(String day) throws PlatformException {
-        Map<CountsBody.Row, Long> sums = new HashMap<>();
-        for (String name : store.listObjects(PREFIX + day + "/")) {
-            Optional<byte[]> content = store.getObject(name);
-            if (content.isEmpty()) {
-                continue;
+    public boolean finish() {
+        synchronized (flushLock) {
+            collect();
+            queue.finish(clock.wallMs());
+            for (int attempt = 0; attempt < FINISH_ATTEMPTS; attempt++) {
+                if (write()) {
+                    return true;
+                }
             }
-            for (CountsBody.Row row : read(content.get()).rows()) {
-                CountsBody.Row key = new CountsBody.Row(row.account(), row.kind(), row.zone(), row.outcome(), 0);
-                sums.merge(key, row.count(), Long::sum);
-            }
-        }
-        List<CountsBody.Row> rows = new ArrayList<>();
-        for (Map.Entry<CountsBody.Row, Long> entry : sums.entrySet()) {
-            CountsBody.Row key = entry.getKey();
-            rows.add(new CountsBody.Row(key.account(), key.kind(), key.zone(), key.outcome(), entry.getValue()));
+            return false;
         }
-        return new CountsBody(rows);
     }
 
-    private synchronized void cut() {
-        if (counts.isEmpty() || waiting.size() >= MAX_WAITING) {
-            return;
-        }
-        List<CountsBody.Row> rows = new ArrayList<>();
-        for (Map.Entry<Series, Long> entry : counts.entrySet()) {
-            Series key = entry.getKey();
-            rows.add(new CountsBody.Row(key.account, key.kind, identity.zone(), key.outcome, entry.getValue()));
-        }
-        try {
-            waiting.add(new Increment(toName(), ApiJson.MAPPER.writeValueAsBytes(new CountsBody(rows))));
-            counts.clear();
-        } catch (JsonProcessingException e) {
-            Logger.error(e, "counts-not-written");
+    /**
+     * Counts the increments that wait for the store.
+     *
+     * @return the number of increments, bounded
+     */
+    public int getWaiting() {
+        synchronized (flushLock) {
+            return queue.size();
         }
     }
 
-    private String toName() {
-        String day = Instant.ofEpochMilli(clock.wallMs())
-                .atOffset(ZoneOffset.UTC)
-                .toLocalDate()
-                .toString();
-        return PREFIX + day + "/" + identity.instance() + "/" + identity.incarnation() + "/" + sequence++;
+    private void collect() {
+        Map<CountsShard.Series, Long> drained = new HashMap<>();
+        for (CountsShard shard : shards) {
+            shard.drain().forEach((series, count) -> drained.merge(series, count, Long::sum));
+        }
+        queue.add(drained, clock.wallMs());
     }
 
-    private static CountsBody read(byte[] content) throws PlatformException {
+    private boolean write() {
         try {
-            return ApiJson.MAPPER.readValue(content, CountsBody.class);
-        } catch (IOException e) {
-            throw new PlatformException("an increment cannot be read", e);
+            queue.write(store);
+            if (isFailing) {
+                Logger.info("counts-delivered");
+            }
+            isFailing = false;
+            return true;
+        } catch (PlatformException e) {
+            if (!isFailing) {
+                Logger.info("counts-kept increments={} reason=\"{}\"", queue.size(), e.getMessage());
+            }
+            isFailing = true;
+            return false;
         }
     }
 
-    /** What is counted separately. */
-    private record Series(String account, String kind, String outcome) {}
-
-    /** An increment that waits to be written. */
-    @SuppressWarnings("ArrayRecordComponent")
-    private record Increment(String name, byte[] content) {}
+    private void compact() {
+        try {
+            counts.compactRecent();
+        } catch (PlatformException e) {
+            Logger.warn("counts-not-compacted reason=\"{}\"", e.getMessage());
+        }
+    }
 }
--- /dev/null
+++ b/node/src/main/java/io/cranberryarch/node/report/CountsShard.java
@@ -0,0 +1,31 @@
+package io.cranberryarch.node.report;
+
+import io.cranberryarch.api.Outcome;
+import java.util.HashMap;
+import java.util.Map;
+
+/** A part of the counts of this process, with a lock of its own and a bounded number of series. Thread-safe. */
+final class CountsShard {
+
+    private static final int MAX_SERIES = 2_000;
+    private static final String OTHER = "other";
+
+    private Map<Series, Long> counts = new HashMap<>();
+
+    synchronized void add(Series series) {
+        Series key = series;
+        if (counts.size() >= MAX_SERIES && !counts.containsKey(series)) {
+            key = new Series(series.minute, OTHER, OTHER, series.outcome);
+        }
+        counts.merge(key, 1L, Long::sum);
+    }
+
+    synchronized Map<Series, Long> drain() {
+        Map<Series, Long> drained = counts;
+        counts = new HashMap<>();
+        return drained;
+    }
+
+    /** What is counted separately; the minute is that of the wall clock since 1970. */
+    record Series(long minute, String account, String kind, Outcome outcome) {}
+}
--- /dev/null
+++ b/node/src/main/java/io/cranberryarch/node/report/Increment.java
@@ -0,0 +1,74 @@
+package io.cranberryarch.node.report;
+
+import io.cranberryarch.api.ApiJson;
+import io.cranberryarch.api.Outcome;
+import io.cranberryarch.platform.PlatformException;
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.io.UncheckedIOException;
+import java.util.List;
+import java.util.zip.GZIPInputStream;
+import java.util.zip.GZIPOutputStream;
+
+/**
+ * What one process counted in a few minutes, as it is written to the object store.
+ *
+ * @param instance the instance
+ * @param incarnation the start of the process in milliseconds
+ * @param sequence the number of the increment in its process, from 0 without gaps
+ * @param zone the availability zone of the entry
+ * @param startMs the wall clock time from which on it counts, in milliseconds
+ * @param untilMs the wall clock time up to which it is whole, in milliseconds
+ * @param isClosed whether its counts do not change any more
+ * @param isLast whether it was written on a graceful stop
+ * @param lost requests dropped before this increment since the one before
+ * @param rows the counts
+ */
+record Increment(
+        String instance,
+        long incarnation,
+        long sequence,
+        String zone,
+        long startMs,
+        long untilMs,
+        boolean isClosed,
+        boolean isLast,
+        long lost,
+        List<Row> rows) {
+
+    Increment {
+        rows = List.copyOf(rows);
+    }
+
+    byte[] toBytes() {
+        return toBytes(this);
+    }
+
+    static Increment of(byte[] content) throws PlatformException {
+        return read(content, Increment.class);
+    }
+
+    static byte[] toBytes(Object body) {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        try (OutputStream out = new GZIPOutputStream(bytes)) {
+            ApiJson.MAPPER.writeValue(out, body);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return bytes.toByteArray();
+    }
+
+    static <T> T read(byte[] content, Class<T> type) throws PlatformException {
+        try (InputStream in = new GZIPInputStream(new ByteArrayInputStream(content))) {
+            return ApiJson.MAPPER.readValue(in, type);
+        } catch (IOException e) {
+            throw new PlatformException("counts cannot be read", e);
+        }
+    }
+
+    /** A count of one minute, the minute being that of the wall clock since 1970. */
+    record Row(long minute, String account, String kind, Outcome outcome, long count) {}
+}
--- a/operator/src/main/java/io/cranberryarch/operator/AdminClient.java
+++ b/operator/src/main/java/io/cranberryarch/operator/AdminClient.java
@@ -17,10 +17,12 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import org.eclipse.jetty.client.BytesRequestContent;
+import org.eclipse.jetty.client.CompletableResponseListener;
 import org.eclipse.jetty.client.ContentResponse;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
@@ -29,6 +31,8 @@
 public final class AdminClient implements AutoCloseable {
 
     private static final long TIMEOUT_MS = 15_000;
+    private static final long REPORT_TIMEOUT_MS = 300_000;
+    private static final int MAX_ANSWER_BYTES = 64 * 1024 * 1024;
     private static final int CHANGE_ID_BYTES = 8;
     private static final int OK = 200;
     private static final int CONFLICT = 409;
@@ -86,7 +90,7 @@
     }
 
     CountsBody readCounts(String day) throws ApiFailure {
-        return send("GET", "/v1/counts?day=" + encode(day), Optional.empty(), CountsBody.class);
+        return send("GET", "/v1/counts?day=" + encode(day), Optional.empty(), CountsBody.class, REPORT_TIMEOUT_MS);
     }
 
     @Override
@@ -99,15 +103,22 @@
     }
 
     private <T> T send(String method, String target, Optional<Object> body, Class<T> type) throws ApiFailure {
+        return send(method, target, body, type, TIMEOUT_MS);
+    }
+
+    private <T> T send(String method, String target, Optional<Object> body, Class<T> type, long timeoutMs)
+            throws ApiFailure {
         Request request = client.newRequest(node.resolve(target))
                 .method(method)
                 .headers(headers -> headers.put("Authorization", "Bearer " + token))
-                .timeout(TIMEOUT_MS, TimeUnit.MILLISECONDS);
+                .timeout(timeoutMs, TimeUnit.MILLISECONDS);
         try {
             if (body.isPresent()) {
                 request.body(new BytesRequestContent("application/json", toJson(body.get())));
             }
-            ContentResponse response = request.send();
+            CompletableFuture<ContentResponse> answer =
+                    new CompletableResponseListener(request, MAX_ANSWER_BYTES).send();
+            ContentResponse response = answer.get(timeoutMs, TimeUnit.MILLISECONDS);
             if (response.getStatus() != OK) {
                 throw toFailure(response);
             }
--- a/settings/src/main/java/io/cranberryarch/settings/FleetSettingsReader.java
+++ b/settings/src/main/java/io/cranberryarch/settings/FleetSettingsReader.java
@@ -43,7 +43,11 @@
 
     private Map<ObjectId, Map<String, String>> groupByObject() {
         Map<ObjectId, Map<String, String>> objects = new TreeMap<>();
+        ReportSettings.read(tree.getValues(), faults);
         for (Map.Entry<String, String> entry : tree.getValues().entrySet()) {
+            if (ReportSettings.isReportPath(entry.getKey())) {
+                continue;
+            }
             String[] parts = entry.getKey().substring(1).split("/");
             if (parts.length != 5 || !parts[0].equals("teams")) {
                 faults.add(entry.getKey() + ": expected /teams/TEAM/{accounts|keys|operators|routes}/NAME/FIELD");
--- a/standin/src/main/java/io/cranberryarch/standin/MemoryPlatform.java
+++ b/standin/src/main/java/io/cranberryarch/standin/MemoryPlatform.java
@@ -57,6 +57,11 @@
         return Optional.ofNullable(objects.get(name)).map(byte[]::clone);
     }
 
+    @Override
+    public synchronized void delete(String name) {
+        objects.remove(name);
+    }
+
     @Override
     public synchronized List<String> listObjects(String prefix) {
         List<String> names = new ArrayList<>();
--- a/standin/src/main/java/io/cranberryarch/standin/PlatformStandin.java
+++ b/standin/src/main/java/io/cranberryarch/standin/PlatformStandin.java
@@ -121,6 +121,10 @@
                     platform.put(query.getValue("name"), body);
                     yield Optional.of(new byte[0]);
                 }
+                case "DELETE /objects/item" -> {
+                    platform.delete(query.getValue("name"));
+                    yield Optional.of(new byte[0]);
+                }
                 case "GET /objects/item" -> platform.getObject(query.getValue("name"));
                 case "GET /objects/names" ->
                     Optional.of(toJson(new PlatformJson.NamesBody(platform.listObjects(query.getValue("prefix")))));
