Parts of tokens from several zones make one, and returned tokens are seen

Cause: calls within the rate of small accounts were refused. A burst of 5 over 4 zones left a part of a token unused in each, and a holder that had given tokens back still waited for the bucket to fill (up to 4 s).

Grants now count in thousandths of a token; a holder asks again at once where it gave tokens back, and in 200 ms elsewhere.

--- a/decision/src/main/java/io/cranberryarch/decision/rate/GrantSettlement.java
+++ b/decision/src/main/java/io/cranberryarch/decision/rate/GrantSettlement.java
@@ -5,7 +5,7 @@
  * arrives late or twice changes nothing.
  *
  * @param grant the number of the grant
- * @param spent tokens spent since the grant began
- * @param returned tokens given back since the grant began, which the holder will not spend
+ * @param spent tokens spent since the grant began, in units of {@link RateShare#UNITS_PER_TOKEN}
+ * @param returned tokens given back since the grant began, in units, which the holder will not spend
  */
 public record GrantSettlement(long grant, long spent, long returned) {}
--- a/decision/src/main/java/io/cranberryarch/decision/rate/HeldGrant.java
+++ b/decision/src/main/java/io/cranberryarch/decision/rate/HeldGrant.java
@@ -37,14 +37,15 @@
         return epoch == currentEpoch && !isReported;
     }
 
-    boolean trySpend(long nowMs) {
-        if (getLeft(nowMs) < 1) {
-            return false;
+    /** Spends at most so many tokens and tells how many. */
+    long spend(long tokens, long nowMs) {
+        long taken = Math.min(tokens, getLeft(nowMs));
+        if (taken > 0) {
+            left -= taken;
+            spent += taken;
+            isReported = false;
         }
-        left--;
-        spent++;
-        isReported = false;
-        return true;
+        return taken;
     }
 
     /** Gives tokens back, which are then no longer there to spend. */
--- a/decision/src/main/java/io/cranberryarch/decision/rate/RateShare.java
+++ b/decision/src/main/java/io/cranberryarch/decision/rate/RateShare.java
@@ -20,6 +20,11 @@
  */
 public record RateShare(double ratePerSecond, long burst) {
 
+    /** The units of a token in which shares are granted, so that parts of tokens from several zones make a whole. */
+    public static final long UNITS_PER_TOKEN = 1_000;
+
+    private static final double MS_PER_SECOND = 1_000;
+
     /** Nothing. */
     public static final RateShare NONE = new RateShare(0, 0);
 
@@ -47,6 +52,14 @@
         return new RateShare(ratePerSecond * part / tokens, part);
     }
 
+    long toBurstUnits() {
+        return burst * UNITS_PER_TOKEN;
+    }
+
+    double toUnits(long elapsedMs) {
+        return ratePerSecond * UNITS_PER_TOKEN * elapsedMs / MS_PER_SECOND;
+    }
+
     private static List<String> toOrder(String account, List<String> zones) {
         return zones.stream()
                 .sorted(Comparator.comparingLong((String zone) -> toHash(account, zone))
--- a/decision/src/main/java/io/cranberryarch/decision/rate/TokenAllocator.java
+++ b/decision/src/main/java/io/cranberryarch/decision/rate/TokenAllocator.java
@@ -44,7 +44,7 @@
      */
     public TokenAllocator(RateShare share, long epoch, long level, long fillsFromMs) {
         this.share = share;
-        this.level = level;
+        this.level = level * RateShare.UNITS_PER_TOKEN;
         this.epoch = epoch;
         this.filledAtMs = fillsFromMs;
     }
@@ -90,13 +90,14 @@
     }
 
     private long toWaitMs(long nowMs) {
-        if (level >= 1) {
+        if (level >= RateShare.UNITS_PER_TOKEN) {
             return 0;
         }
         if (share.ratePerSecond() <= 0 || share.burst() < 1) {
             return MAX_WAIT_MS;
         }
-        double fillMs = (1 - level) / share.ratePerSecond() * MS_PER_SECOND;
+        double missing = 1 - level / RateShare.UNITS_PER_TOKEN;
+        double fillMs = missing / share.ratePerSecond() * MS_PER_SECOND;
         long startMs = Math.max(0, filledAtMs - nowMs);
         return Math.min(MAX_WAIT_MS, startMs + (long) Math.ceil(fillMs));
     }
@@ -135,13 +136,13 @@
         if (nowMs <= filledAtMs) {
             return;
         }
-        double filled = level + share.ratePerSecond() * (nowMs - filledAtMs) / MS_PER_SECOND;
+        double filled = level + share.toUnits(nowMs - filledAtMs);
         level = Math.min(toRoom(), filled);
         filledAtMs = nowMs;
     }
 
     private double toRoom() {
-        return Math.max(0, share.burst() - outstanding);
+        return Math.max(0, share.toBurstUnits() - outstanding);
     }
 
     /** A grant whose tokens may be unspent. */
--- a/decision/src/main/java/io/cranberryarch/decision/rate/TokenAnswer.java
+++ b/decision/src/main/java/io/cranberryarch/decision/rate/TokenAnswer.java
@@ -9,8 +9,8 @@
  * @param number the number of the request
  * @param epoch the epoch of the allocator
  * @param grant the number of the grant
- * @param tokens tokens granted, may be 0
+ * @param tokens tokens granted, in units of {@link RateShare#UNITS_PER_TOKEN}, may be 0
  * @param lengthMs the length of the grant in milliseconds
- * @param waitMs when the allocator expects to have a token again, in milliseconds, 0 if it has some left
+ * @param waitMs when the allocator expects to have a whole token again, in milliseconds, 0 if it has one left
  */
 public record TokenAnswer(long number, long epoch, long grant, long tokens, long lengthMs, long waitMs) {}
--- a/decision/src/main/java/io/cranberryarch/decision/rate/TokenHolder.java
+++ b/decision/src/main/java/io/cranberryarch/decision/rate/TokenHolder.java
@@ -65,12 +65,14 @@
      * @return whether there was one
      */
     public boolean trySpend(long nowMs) {
+        if (countTokens(nowMs) < RateShare.UNITS_PER_TOKEN) {
+            return false;
+        }
+        long left = RateShare.UNITS_PER_TOKEN;
         for (TokenSource source : sources) {
-            if (source.trySpend(nowMs)) {
-                return true;
-            }
+            left -= source.spend(left, nowMs);
         }
-        return false;
+        return true;
     }
 
     /**
@@ -83,14 +85,15 @@
     public List<TokenRequest> request(long waiting, long nowMs) {
         long target = toTarget(nowMs);
         long stock = countTokens(nowMs);
-        long missing = waiting + (2 * stock < target ? target - stock : 0);
+        long needed = Math.max(0, waiting * RateShare.UNITS_PER_TOKEN - stock);
+        long wanted = needed + (2 * stock < target ? target - stock : 0);
         List<TokenRequest> requests = new ArrayList<>();
-        if (missing < 1) {
+        if (wanted < 1) {
             return requests;
         }
         TokenSource own = sources.get(0);
         if (isUseful(own, waiting, nowMs)) {
-            requests.add(ask(own, waiting, missing, nowMs));
+            requests.add(ask(own, needed, wanted, nowMs));
         }
         if (own.isInFlight(nowMs) && !own.isFailing()) {
             return requests;
@@ -100,7 +103,7 @@
             TokenSource source = sources.get(nextSource);
             nextSource = nextSource + 1 < sources.size() ? nextSource + 1 : 1;
             if (isUseful(source, waiting, nowMs)) {
-                requests.add(ask(source, waiting, missing, nowMs));
+                requests.add(ask(source, needed, wanted, nowMs));
                 room--;
             }
         }
@@ -239,7 +242,7 @@
     }
 
     private long toTarget(long nowMs) {
-        return (long) Math.floor(toDemand(nowMs) * PREFETCH_MS / MS_PER_SECOND);
+        return (long) Math.floor(toDemand(nowMs) * PREFETCH_MS / MS_PER_SECOND) * RateShare.UNITS_PER_TOKEN;
     }
 
     private double toDemand(long nowMs) {
--- a/decision/src/main/java/io/cranberryarch/decision/rate/TokenRequest.java
+++ b/decision/src/main/java/io/cranberryarch/decision/rate/TokenRequest.java
@@ -8,8 +8,8 @@
  * @param zone the zone whose allocator is asked
  * @param account the name of the client account
  * @param number the number of the request, unique for the holder
- * @param needed tokens for calls that wait now
- * @param wanted tokens wanted in all, with those for the calls expected next; 0 only settles
+ * @param needed tokens for calls that wait now, in units of {@link RateShare#UNITS_PER_TOKEN}
+ * @param wanted tokens wanted in all, with those for the calls expected next, in units; 0 only settles
  * @param epoch the epoch of the allocator that gave the settled grants
  * @param settlements what became of earlier grants
  */
--- a/decision/src/main/java/io/cranberryarch/decision/rate/TokenSource.java
+++ b/decision/src/main/java/io/cranberryarch/decision/rate/TokenSource.java
@@ -13,7 +13,7 @@
     private static final int MAX_FAILURE_DOUBLINGS = 5;
     private static final long DRY_BACKOFF_MS = 5;
     private static final int MAX_DRY_DOUBLINGS = 5;
-    private static final long MAX_DRY_BACKOFF_MS = 1_000;
+    private static final long MAX_DRY_BACKOFF_MS = 200;
     private static final long PREFETCH_INTERVAL_MS = 20;
 
     private final String zone;
@@ -97,13 +97,13 @@
         failures++;
     }
 
-    boolean trySpend(long nowMs) {
+    /** Spends at most so many tokens and tells how many. */
+    long spend(long tokens, long nowMs) {
+        long taken = 0;
         for (HeldGrant grant : grants) {
-            if (grant.trySpend(nowMs)) {
-                return true;
-            }
+            taken += grant.spend(tokens - taken, nowMs);
         }
-        return false;
+        return taken;
     }
 
     long countTokens(long nowMs) {
@@ -122,6 +122,9 @@
                 given += grant.giveBack(tokens - given, nowMs);
             }
         }
+        if (given > 0 && !isFailing()) {
+            askAgainAtMs = nowMs;
+        }
         return given;
     }
 
@@ -139,10 +142,8 @@
     }
 
     private long toBackoffMs(TokenAnswer answer) {
-        if (answer.tokens() > 0 || answer.waitMs() == 0) {
-            return answer.waitMs();
-        }
-        long backoffMs = DRY_BACKOFF_MS << Math.min(dryAnswers, MAX_DRY_DOUBLINGS);
+        long backoffMs =
+                dryAnswers == 0 || answer.waitMs() == 0 ? 0 : DRY_BACKOFF_MS << Math.min(dryAnswers, MAX_DRY_DOUBLINGS);
         return Math.min(MAX_DRY_BACKOFF_MS, Math.max(answer.waitMs(), backoffMs));
     }
 
--- a/decision/src/test/java/io/cranberryarch/decision/rate/ShardAllocatorTest.java
+++ b/decision/src/test/java/io/cranberryarch/decision/rate/ShardAllocatorTest.java
@@ -53,9 +53,9 @@
         ShardAllocator allocator = new ShardAllocator(1, false, 0);
         RateShare fast = new RateShare(100, 100);
         RateShare slow = new RateShare(1, 100);
-        assertEquals(100, allocator.handle(toRequest(200), fast, 10_000).tokens());
+        assertEquals(100_000, allocator.handle(toRequest(200_000), fast, 10_000).tokens());
         allocator.configure(account -> slow, 10_000);
-        assertEquals(9, allocator.handle(toRequest(200), slow, 20_500).tokens());
+        assertEquals(9_500, allocator.handle(toRequest(200_000), slow, 20_500).tokens());
     }
 
     private static TokenRequest toRequest(long needed) {
--- /dev/null
+++ b/experiment/src/main/java/io/cranberryarch/experiment/rate/RateExperiment.java
@@ -0,0 +1,105 @@
+package io.cranberryarch.experiment.rate;
+
+import java.io.PrintStream;
+import java.util.List;
+import java.util.Locale;
+
+/** Measures calls that are refused although they are within the rate of their client account. */
+public final class RateExperiment {
+
+    /** Accounts of different sizes, well below their rates. */
+    public static final List<RateLoad> NORMAL = List.of(
+            new RateLoad("large", 500, 500, 0.8),
+            new RateLoad("medium", 50, 50, 0.8),
+            new RateLoad("small", 5, 10, 0.5),
+            new RateLoad("tiny", 1, 5, 0.3));
+
+    private static final int ZONES = 4;
+    private static final int NODES_PER_ZONE = 4;
+    private static final long RUN_MS = 120_000;
+    private static final int RUNS = 8;
+    private static final long SEED = 1;
+    private static final List<Double> LOAD_RATIOS = List.of(0.5, 0.7, 0.8, 0.9, 0.95);
+    private static final List<Double> FLOOR_RATIOS = List.of(0.02, 0.05, 0.1, 0.15, 0.25, 0.4);
+
+    private RateExperiment() {}
+
+    /**
+     * Runs one scenario with equal parts of the rate in all zones, several times.
+     *
+     * @param load the account
+     * @param scenario the scenario
+     * @return the sum of the outcomes
+     */
+    public static RateOutcome run(RateLoad load, RateScenario scenario) {
+        return run(load, scenario, 0, RUNS);
+    }
+
+    private static RateOutcome run(RateLoad load, RateScenario scenario, double floorRatio, int runs) {
+        RateTopology topology = RateTopology.of(ZONES, NODES_PER_ZONE, floorRatio);
+        RateOutcome sum = RateOutcome.NONE;
+        for (int i = 0; i < runs; i++) {
+            sum = sum.plus(new RateModel(topology, load, scenario, SEED + i).run(RUN_MS));
+        }
+        return sum;
+    }
+
+    /**
+     * Prints all tables.
+     *
+     * @param args none
+     */
+    public static void main(String[] args) {
+        printSizes(System.out);
+        printLoads(System.out);
+        printFloors(System.out);
+    }
+
+    private static void printSizes(PrintStream out) {
+        out.println("refused within rate, % (calls; messages a call)");
+        for (RateScenario scenario : RateScenario.values()) {
+            for (RateLoad load : NORMAL) {
+                RateOutcome outcome = run(load, scenario);
+                double messages = (double) outcome.messages() / outcome.calls();
+                out.printf(
+                        Locale.ROOT,
+                        "%-16s %-7s %8.4f (%d; %.3f)%n",
+                        scenario,
+                        load.name(),
+                        100 * outcome.toRefusedRatio(),
+                        outcome.calls(),
+                        messages);
+            }
+        }
+    }
+
+    private static void printLoads(PrintStream out) {
+        out.println("refused within rate, %, by load as a ratio of the rate, rate 500 burst 500");
+        for (RateScenario scenario : RateScenario.values()) {
+            StringBuilder line = new StringBuilder(String.format(Locale.ROOT, "%-16s", scenario));
+            for (double ratio : LOAD_RATIOS) {
+                double refused = run(new RateLoad("large", 500, 500, ratio), scenario, 0, 1)
+                        .toRefusedRatio();
+                line.append(String.format(Locale.ROOT, " %.2f:%8.4f", ratio, 100 * refused));
+            }
+            out.println(line);
+        }
+    }
+
+    private static void printFloors(PrintStream out) {
+        out.println("zone cut off, refused within rate, % there / elsewhere, by its floor, rate 500 burst 500");
+        for (double floor : FLOOR_RATIOS) {
+            StringBuilder line = new StringBuilder(String.format(Locale.ROOT, "floor %.2f", floor));
+            for (double ratio : LOAD_RATIOS) {
+                RateOutcome outcome = run(new RateLoad("large", 500, 500, ratio), RateScenario.ZONE_CUT, floor, 1);
+                line.append(String.format(
+                        Locale.ROOT,
+                        "  %.2f: %6.2f / %6.2f",
+                        ratio,
+                        100 * outcome.toRefusedRatioInCutZone(),
+                        100 * outcome.toRefusedRatioElsewhere()));
+            }
+            out.println(line);
+        }
+    }
+}
