--- a/node/src/main/java/io/cranberryarch/node/http/EntryHandler.java
+++ b/node/src/main/java/io/cranberryarch/node/http/EntryHandler.java
@@ -149,7 +149,9 @@
             CompletableFuture<CallResult> answer = calls.send(call);
             request.addFailureListener(failure -> answer.cancel(false));
             answer.whenComplete((result, failure) -> {
-                if (failure != null) {
+                if (answer.isCancelled()) {
+                    refuse(Refusal.ofUnknown(RefusalReason.CANCELLED, 0));
+                } else if (failure != null) {
                     Logger.error(failure, "request-failed request={}", requestId);
                     refuse(Refusal.ofUnknown(RefusalReason.UPSTREAM_FAILED, SETTINGS_RETRY_AFTER_MS));
                 } else {
--- a/node/src/main/java/io/cranberryarch/node/peer/PeerNetwork.java
+++ b/node/src/main/java/io/cranberryarch/node/peer/PeerNetwork.java
@@ -110,7 +110,7 @@
         connections.forEach(PeerConnection::leave);
     }
 
-    /** Ends the streams to all peers. Answers that were sent before still arrive. */
+    /** Ends the streams to all peers, to be called when {@link #isIdle}. Answers sent before still arrive. */
     public void shutdownOutput() {
         connections.forEach(PeerConnection::shutdownOutput);
     }
--- a/node/src/test/java/io/cranberryarch/node/peer/PeerConnectionTest.java
+++ b/node/src/test/java/io/cranberryarch/node/peer/PeerConnectionTest.java
@@ -129,6 +129,7 @@
         assertFalse(assertInstanceOf(PeerLostException.class, lost.getCause()).isSent());
         assertFalse(received.containsKey(late.id()));
         received.get(early.id()).complete(toResult(new byte[3]));
+        FleetFixture.await(server::isIdle);
         server.shutdownOutput();
         assertEquals(3, ((AnswerMessage) early.answer().get()).result().body().length);
         FleetFixture.await(() -> !client.hasConnections());
