--- a/node/src/main/java/io/cranberryarch/node/call/CallService.java
+++ b/node/src/main/java/io/cranberryarch/node/call/CallService.java
@@ -12,6 +12,7 @@
 import io.cranberryarch.decision.membership.Member;
 import io.cranberryarch.decision.retry.RetryBudget;
 import io.cranberryarch.decision.retry.RetryDecision;
+import io.cranberryarch.decision.retry.RetryRatio;
 import io.cranberryarch.decision.routing.InstanceChoice;
 import io.cranberryarch.node.member.MemberService;
 import io.cranberryarch.node.peer.PeerConnection;
@@ -46,6 +47,7 @@
     private final KeyService keys;
     private final ScheduledExecutorService timer;
     private final Map<String, LoadReport> loads = new ConcurrentHashMap<>();
+    private final Map<String, RetryRatio> ratios = new ConcurrentHashMap<>();
 
     /**
      * Creates the service.
@@ -79,11 +81,15 @@
      * @return the final answer, which fails only if it was cancelled
      */
     public CompletableFuture<CallResult> send(CallRequest call) {
-        Attempts attempts = new Attempts(call, clock.monotonicMs() + call.timeoutMs());
+        RetryRatio ratio = ratios.computeIfAbsent(call.service(), unused -> new RetryRatio());
+        Attempts attempts = new Attempts(call, clock.monotonicMs() + call.timeoutMs(), ratio);
         Optional<Refusal> forged = attempts.isKeyed ? keys.check(call) : Optional.empty();
         if (forged.isPresent()) {
             return CompletableFuture.completedFuture(refuse(forged.get(), call.retryTokens()));
         }
+        synchronized (ratio) {
+            ratio.addFirstAttempt();
+        }
         attempts.next();
         return attempts.result;
     }
@@ -106,7 +112,7 @@
         CompletableFuture<CallResult> result = new CompletableFuture<>();
         network.connect(MemberService.toAddress(member)).whenComplete((connection, failure) -> {
             if (failure != null) {
-                result.complete(toLost(failure));
+                result.complete(toLost(failure, call));
             } else if (!result.isDone()) {
                 exchange(connection, call, result);
             }
@@ -122,8 +128,8 @@
     private void exchange(PeerConnection connection, CallRequest call, CompletableFuture<CallResult> result) {
         PeerConnection.PendingRequest pending = connection.request(new CallMessage(call));
         pending.answer()
-                .whenComplete(
-                        (message, failure) -> result.complete(failure != null ? toLost(failure) : toResult(message)));
+                .whenComplete((message, failure) ->
+                        result.complete(failure != null ? toLost(failure, call) : toResult(message)));
         result.whenComplete((answer, failure) -> {
             if (!pending.answer().isDone()) {
                 connection.forget(pending.id());
@@ -139,14 +145,13 @@
         return refuse(Refusal.ofUnknown(RefusalReason.UPSTREAM_FAILED, RETRY_AFTER_MS), 0);
     }
 
-    private static CallResult toLost(Throwable failure) {
+    private static CallResult toLost(Throwable failure, CallRequest call) {
         Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
-        boolean sent = !(cause instanceof PeerLostException lost) || lost.isSent();
-        return refuse(
-                sent
-                        ? Refusal.ofUnknown(RefusalReason.PEER_LOST, RETRY_AFTER_MS)
-                        : Refusal.ofNotRun(RefusalReason.PEER_LOST, RETRY_AFTER_MS),
-                0);
+        boolean isSent = !(cause instanceof PeerLostException lost) || lost.isSent();
+        if (isSent) {
+            return refuse(Refusal.ofUnknown(RefusalReason.PEER_LOST, RETRY_AFTER_MS), 0);
+        }
+        return refuse(Refusal.ofNotRun(RefusalReason.PEER_LOST, RETRY_AFTER_MS), call.retryTokens());
     }
 
     private static CallResult refuse(Refusal refusal, int retryTokens) {
@@ -168,6 +173,7 @@
         private final CallRequest call;
         private final long deadlineMs;
         private final RetryBudget budget;
+        private final RetryRatio ratio;
         private final Set<String> tried = new HashSet<>();
         private final CompletableFuture<CallResult> result = new CompletableFuture<>();
         private final boolean isKeyed;
@@ -175,11 +181,12 @@
         private boolean isResent;
         private Optional<String> keyOwner = Optional.empty();
 
-        Attempts(CallRequest call, long deadlineMs) {
+        Attempts(CallRequest call, long deadlineMs, RetryRatio ratio) {
             this.call = call;
             this.isKeyed = call.context().toOnceKey().isPresent();
             this.deadlineMs = deadlineMs;
             this.budget = new RetryBudget(call.retryTokens());
+            this.ratio = ratio;
         }
 
         void next() {
@@ -232,6 +239,12 @@
             return isLost;
         }
 
+        private boolean trySpend() {
+            synchronized (ratio) {
+                return budget.getTokens() > 0 && ratio.trySpend() && budget.trySpend();
+            }
+        }
+
         private void onAnswer(Member member, CallResult answer, Throwable failure) {
             if (result.isDone()) {
                 return;
@@ -249,7 +262,7 @@
             boolean isAgain = answer.refusal().isPresent()
                     && isAgainAllowed(answer)
                     && deadlineMs > clock.monotonicMs()
-                    && budget.trySpend();
+                    && trySpend();
             if (isAgain) {
                 next();
                 return;
--- a/wire/src/main/java/io/cranberryarch/wire/MessageType.java
+++ b/wire/src/main/java/io/cranberryarch/wire/MessageType.java
@@ -28,6 +28,10 @@
     SETTINGS_PULL(9, SettingsPullMessage::read),
     /** Changes of the settings, or a whole tree. */
     SETTINGS_PUSH(10, SettingsPushMessage::read),
+    /** Asks the allocator of a zone for tokens of a client account. */
+    TOKEN_REQUEST(20, TokenRequestMessage::read),
+    /** Answers a request for tokens. */
+    TOKEN_ANSWER(21, TokenAnswerMessage::read),
     /** Asks to send no more requests on this connection. */
     GO_AWAY(30, GoAwayMessage::read);
 
