Calls wait up to 500 ms for the answer of an allocator before they are refused

Ruled out: an empty bucket (a lease that nobody held starts full). An allocator without tokens says so at once, and the call is refused at once, so the bound matters only while an answer is missing.

--- a/node/src/main/java/io/cranberryarch/node/rate/RateService.java
+++ b/node/src/main/java/io/cranberryarch/node/rate/RateService.java
@@ -37,7 +37,7 @@
 
     private static final long TICK_MS = 20;
     private static final long ALLOCATOR_TICK_MS = 250;
-    private static final long MAX_WAIT_MS = 50;
+    private static final long MAX_WAIT_MS = 500;
     private static final int MAX_WAITING = 1_000;
     private static final CompletableFuture<Optional<Refusal>> ADMITTED =
             CompletableFuture.completedFuture(Optional.empty());
