--- /dev/null
+++ b/decision/src/main/java/io/cranberryarch/decision/config/package-info.java
@@ -0,0 +1,2 @@
+/** The versions of the shared settings at one node. */
+package io.cranberryarch.decision.config;
--- /dev/null
+++ b/decision/src/main/java/io/cranberryarch/decision/key/package-info.java
@@ -0,0 +1,2 @@
+/** Keys of client accounts that were withdrawn. */
+package io.cranberryarch.decision.key;
--- a/decision/src/main/java/io/cranberryarch/decision/membership/Member.java
+++ b/decision/src/main/java/io/cranberryarch/decision/membership/Member.java
@@ -34,7 +34,10 @@
         if (incarnation != other.incarnation) {
             return incarnation > other.incarnation;
         }
-        return sequence > other.sequence;
+        if (sequence != other.sequence) {
+            return sequence > other.sequence;
+        }
+        return state.compareTo(other.state) > 0;
     }
 
     /**
@@ -46,4 +49,35 @@
     public Member toState(MemberState newState) {
         return new Member(instance, incarnation, sequence + 1, newState, zone, service, host, peerPort, slots);
     }
+
+    /**
+     * Copies this record as another member judges it; the member itself contradicts with its next sequence number.
+     *
+     * @param judged {@link MemberState#SUSPECT} or {@link MemberState#GONE}
+     * @return the copy, newer than this record
+     */
+    public Member toJudged(MemberState judged) {
+        return new Member(instance, incarnation, sequence, judged, zone, service, host, peerPort, slots);
+    }
+
+    /**
+     * Copies this record with a number of slots and the next sequence number.
+     *
+     * @param newSlots requests that the upstream runs at once at most
+     * @return the copy
+     */
+    public Member toSlots(int newSlots) {
+        return new Member(instance, incarnation, sequence + 1, state, zone, service, host, peerPort, newSlots);
+    }
+
+    /**
+     * Copies this record with a sequence number above another one.
+     *
+     * @param other the sequence number to exceed
+     * @return the copy
+     */
+    Member toSequenceAbove(long other) {
+        long next = Math.max(sequence, other) + 1;
+        return new Member(instance, incarnation, next, state, zone, service, host, peerPort, slots);
+    }
 }
--- a/decision/src/main/java/io/cranberryarch/decision/membership/MemberState.java
+++ b/decision/src/main/java/io/cranberryarch/decision/membership/MemberState.java
@@ -1,15 +1,23 @@
 package io.cranberryarch.decision.membership;
 
-/** The state of a member, in ascending order of precedence between records of one incarnation. */
+/** The state of a member, in ascending order of precedence between records of one incarnation and sequence. */
 public enum MemberState {
     /** Its upstream has not yet announced itself. */
-    STARTING,
+    STARTING(true),
     /** Takes calls. */
-    UP,
+    UP(true),
     /** Takes no new calls. */
-    DRAINING,
+    DRAINING(true),
+    /** Did not answer probes; it is taken for gone unless it contradicts in time. */
+    SUSPECT(true),
     /** Gone. */
-    GONE;
+    GONE(false);
+
+    private final boolean isLive;
+
+    MemberState(boolean isLive) {
+        this.isLive = isLive;
+    }
 
     /**
      * Checks whether new calls may be sent to a member in this state.
@@ -19,4 +27,13 @@
     public boolean isServing() {
         return this == UP;
     }
+
+    /**
+     * Checks whether a member in this state takes part in the exchange of records.
+     *
+     * @return whether it is not known to be gone
+     */
+    public boolean isLive() {
+        return isLive;
+    }
 }
--- /dev/null
+++ b/decision/src/test/java/io/cranberryarch/decision/membership/MemberNet.java
@@ -0,0 +1,149 @@
+package io.cranberryarch.decision.membership;
+
+import io.cranberryarch.base.ManualClock;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.function.BiPredicate;
+import java.util.function.BooleanSupplier;
+
+/** Membership states that exchange messages by direct calls, over links that can be cut, on a hand-driven clock. */
+final class MemberNet {
+
+    private static final int MAX_EXCHANGES = 100;
+
+    private final ManualClock clock = new ManualClock(10_000);
+    private final Random random;
+    private final Map<String, Membership> nodes = new TreeMap<>();
+    private BiPredicate<Member, Member> cut = (from, to) -> false;
+
+    MemberNet(long seed, int zones, int perZone) {
+        this.random = new Random(seed);
+        for (int i = 0; i < zones * perZone; i++) {
+            start("n" + i, 1, "z" + i % zones);
+        }
+    }
+
+    void start(String instance, long incarnation, String zone) {
+        Member self = new Member(instance, incarnation, 0, MemberState.UP, zone, "s", "h", 1, 1);
+        Membership node = new Membership(self, clock.monotonicMs());
+        Optional<Membership> seed =
+                nodes.values().stream().filter(other -> other != node).findFirst();
+        nodes.put(instance, node);
+        seed.ifPresent(other -> exchange(node, new Probe(other.getSelf(), node.toGreeting(), false)));
+    }
+
+    Membership kill(String instance) {
+        return nodes.remove(instance);
+    }
+
+    Collection<Membership> nodes() {
+        return nodes.values();
+    }
+
+    Membership get(String instance) {
+        return nodes.get(instance);
+    }
+
+    long nowMs() {
+        return clock.monotonicMs();
+    }
+
+    /** Cuts links between members in one direction; both directions are needed for an exchange. */
+    void setCut(BiPredicate<Member, Member> newCut) {
+        cut = newCut;
+    }
+
+    /** Runs rounds of all nodes, and returns how many passed before the condition held for the first time, else -1. */
+    int run(int rounds, BooleanSupplier until) {
+        for (int i = 0; i < rounds; i++) {
+            if (until.getAsBoolean()) {
+                return i;
+            }
+            clock.advance(Membership.ROUND_MS);
+            for (Membership node : List.copyOf(nodes.values())) {
+                send(node, node.onRound(nowMs(), random.nextLong()));
+            }
+            spreadNews();
+        }
+        return until.getAsBoolean() ? rounds : -1;
+    }
+
+    /** Lets every node that learned something tell its peers at once, until nothing is new. */
+    void spreadNews() {
+        boolean isNews = true;
+        for (int i = 0; isNews; i++) {
+            if (i == MAX_EXCHANGES) {
+                throw new AssertionError("news do not end");
+            }
+            isNews = false;
+            for (Membership node : nodes.values()) {
+                if (node.takeChanged()) {
+                    isNews = true;
+                    send(node, node.onNews());
+                }
+            }
+        }
+    }
+
+    /** Checks whether every node knows exactly the running nodes, each as up. */
+    boolean isConverged() {
+        return nodes.values().stream().allMatch(node -> toServing(node).equals(new TreeSet<>(nodes.keySet())));
+    }
+
+    boolean isKnownAs(String instance, MemberState state) {
+        return nodes.values().stream()
+                .allMatch(node ->
+                        node.getTable().find(instance).map(Member::state).equals(Optional.of(state)));
+    }
+
+    static Set<String> toServing(Membership node) {
+        Set<String> names = new TreeSet<>();
+        node.getTable().findServing("s").forEach(member -> names.add(member.instance()));
+        return names;
+    }
+
+    private void send(Membership from, List<Probe> probes) {
+        for (Probe probe : probes) {
+            exchange(from, probe);
+        }
+    }
+
+    private void exchange(Membership from, Probe probe) {
+        Member target = probe.target();
+        if (!isReachable(from.getSelf(), target)) {
+            if (!probe.isJudged()) {
+                return;
+            }
+            List<IndirectProbe> probes = new ArrayList<>(from.onFailure(target, nowMs(), random.nextLong()));
+            for (IndirectProbe indirect : probes) {
+                boolean isAnswered =
+                        isReachable(from.getSelf(), indirect.via()) && isReachable(indirect.via(), indirect.target());
+                from.onIndirect(target, isAnswered, nowMs());
+            }
+            return;
+        }
+        Membership peer = nodes.get(target.instance());
+        MemberDelta answer = peer.onDelta(probe.delta(), nowMs());
+        Optional<MemberDelta> next = from.onAnswer(peer.getSelf().instance(), answer, nowMs());
+        for (int i = 0; next.isPresent(); i++) {
+            if (i == MAX_EXCHANGES) {
+                throw new AssertionError("an exchange does not end");
+            }
+            next = from.onAnswer(peer.getSelf().instance(), peer.onDelta(next.get(), nowMs()), nowMs());
+        }
+    }
+
+    private boolean isReachable(Member from, Member to) {
+        return nodes.containsKey(to.instance())
+                && nodes.containsKey(from.instance())
+                && !cut.test(from, to)
+                && !cut.test(to, from);
+    }
+}
--- a/node/src/main/java/io/cranberryarch/node/Node.java
+++ b/node/src/main/java/io/cranberryarch/node/Node.java
@@ -164,6 +164,7 @@
         switch (frame.message().getType()) {
             case CALL -> parts.calls().onCall(connection, frame);
             case GOSSIP -> parts.members().onGossip(connection, frame);
+            case PROBE -> parts.members().onProbe(connection, frame);
             case SETTINGS_PULL -> parts.settings().onPull(connection, frame);
             default -> Logger.debug("frame-ignored type={}", frame.message().getType());
         }
--- a/node/src/main/java/io/cranberryarch/node/NodeModule.java
+++ b/node/src/main/java/io/cranberryarch/node/NodeModule.java
@@ -23,7 +23,6 @@
 import io.cranberryarch.node.peer.PeerNetwork;
 import io.cranberryarch.node.report.CountsReporter;
 import io.cranberryarch.platform.HttpPlatform;
-import io.cranberryarch.platform.SettingsLog;
 import io.cranberryarch.settings.NodeConfig;
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -123,16 +122,25 @@
 
     @Provides
     @Singleton
-    SettingsService provideSettings(HttpPlatform platform, PeerNetwork network, Clock clock) {
-        return new SettingsService(new SettingsLog(platform), network, clock);
+    SettingsService provideSettings(HttpPlatform platform, PeerNetwork network, NodeMetrics metrics, Clock clock) {
+        return new SettingsService(platform, platform, network, metrics, clock);
     }
 
     @Provides
     @Singleton
-    MemberService provideMembers(NodeIdentity identity, PeerNetwork network, SettingsService settings) {
+    MemberService provideMembers(
+            NodeIdentity identity, PeerNetwork network, SettingsService settings, NodeMetrics metrics, Clock clock) {
         try {
             return new MemberService(
-                    identity, config.host(), network.getPort(), config.slots(), config.seeds(), network, settings);
+                    identity,
+                    config.host(),
+                    network.getPort(),
+                    config.slots(),
+                    config.seeds(),
+                    network,
+                    settings,
+                    metrics,
+                    clock);
         } catch (IOException e) {
             throw new UncheckedIOException("the port for peers is closed", e);
         }
--- a/node/src/main/java/io/cranberryarch/node/config/SettingsService.java
+++ b/node/src/main/java/io/cranberryarch/node/config/SettingsService.java
@@ -1,13 +1,20 @@
 package io.cranberryarch.node.config;
 
 import io.cranberryarch.base.Clock;
+import io.cranberryarch.decision.config.SettingsHistory;
+import io.cranberryarch.node.metrics.NodeMetrics;
 import io.cranberryarch.node.peer.PeerConnection;
 import io.cranberryarch.node.peer.PeerNetwork;
+import io.cranberryarch.platform.ObjectStore;
 import io.cranberryarch.platform.PlatformException;
 import io.cranberryarch.platform.SettingsLog;
+import io.cranberryarch.platform.SettingsSnapshots;
+import io.cranberryarch.platform.TableStore;
+import io.cranberryarch.platform.WithdrawalStore;
 import io.cranberryarch.settings.FleetSettings;
 import io.cranberryarch.settings.SettingChange;
 import io.cranberryarch.settings.SettingEdit;
+import io.cranberryarch.settings.SettingLimits;
 import io.cranberryarch.settings.SettingTree;
 import io.cranberryarch.settings.SettingsException;
 import io.cranberryarch.wire.Frame;
@@ -19,43 +26,56 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.TreeMap;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.tinylog.Logger;
 
 /**
- * The shared settings in force at this node. Versions only grow; they come from the platform or from peers.
+ * The shared settings and withdrawn keys in force at this node. Versions only grow; they come from the platform, which
+ * the delegates of a zone read, or from peers.
  *
  * <p>Thread-safe.
  */
 public final class SettingsService {
 
     private static final long POLL_INTERVAL_MS = 500;
-    private static final int MAX_CHANGES_KEPT = 2_000;
+    private static final long FALLBACK_POLL_MS = 30_000;
+    private static final int SNAPSHOT_CHANGES = 500;
     private static final int MAX_COMMIT_ATTEMPTS = 20;
 
     private final SettingsLog log;
+    private final SettingsSnapshots snapshots;
+    private final WithdrawalService withdrawals;
     private final PeerNetwork network;
+    private final NodeMetrics metrics;
     private final Clock clock;
-    private final List<SettingChange> changes = new ArrayList<>();
-    private final Set<String> withdrawnKeys = ConcurrentHashMap.newKeySet();
+    private final SettingsHistory history = new SettingsHistory();
     private volatile State state;
     private volatile boolean ready;
     private volatile boolean platformReachable;
+    private volatile boolean delegate;
+    private volatile Runnable listener = () -> {};
+    private long nextFullPollMs;
+    private long snapshotVersion;
 
     /**
      * Creates the service with empty settings.
      *
-     * @param log the log in the platform
+     * @param table the platform's table
+     * @param objects the platform's object store
      * @param network the connections to peers
+     * @param metrics counts changes
      * @param clock the clock
      */
-    public SettingsService(SettingsLog log, PeerNetwork network, Clock clock) {
-        this.log = log;
+    public SettingsService(
+            TableStore table, ObjectStore objects, PeerNetwork network, NodeMetrics metrics, Clock clock) {
+        this.log = new SettingsLog(table);
+        this.snapshots = new SettingsSnapshots(objects);
+        this.withdrawals = new WithdrawalService(new WithdrawalStore(table), metrics);
         this.network = network;
+        this.metrics = metrics;
         this.clock = clock;
         this.state = toState(SettingTree.EMPTY);
     }
@@ -69,6 +89,24 @@
         blocking.scheduleWithFixedDelay(this::poll, 0, POLL_INTERVAL_MS, TimeUnit.MILLISECONDS);
     }
 
+    /**
+     * Sets who is told of a new version or a withdrawn key.
+     *
+     * @param newListener must not block
+     */
+    public void setListener(Runnable newListener) {
+        listener = newListener;
+    }
+
+    /**
+     * Tells whether this node reads the platform for its zone.
+     *
+     * @param isDelegate whether it does
+     */
+    public void setDelegate(boolean isDelegate) {
+        delegate = isDelegate;
+    }
+
     /**
      * Gets the settings in force.
      *
@@ -97,7 +135,7 @@
     }
 
     /**
-     * Checks whether this node has learned settings from the platform or a peer since it started.
+     * Checks whether this node has learned the highest version that the platform, or its peers while it is down, know.
      *
      * @return whether keyed routes may be served
      */
@@ -121,7 +159,7 @@
      * @return whether it no longer works
      */
     public boolean isWithdrawn(String keyId) {
-        return withdrawnKeys.contains(keyId);
+        return withdrawals.contains(keyId);
     }
 
     /**
@@ -131,16 +169,48 @@
      * @return whether one of them is new
      */
     public boolean addWithdrawnKeys(Collection<String> keyIds) {
-        return withdrawnKeys.addAll(keyIds);
+        boolean isNew = withdrawals.add(keyIds);
+        if (isNew) {
+            listener.run();
+        }
+        return isNew;
+    }
+
+    /**
+     * Gets the digest of the withdrawn keys.
+     *
+     * @return the same number at nodes that know the same keys
+     */
+    public long getWithdrawnDigest() {
+        return withdrawals.getDigest();
     }
 
     /**
-     * Gets the keys withdrawn at this node or learned from peers.
+     * Chooses the withdrawn keys to tell a peer first.
      *
      * @return public identifiers
      */
-    public List<String> getWithdrawnKeys() {
-        return List.copyOf(withdrawnKeys);
+    public List<String> toWithdrawnRequest() {
+        return withdrawals.toRequest();
+    }
+
+    /**
+     * Chooses the withdrawn keys to answer a peer.
+     *
+     * @param peerDigest the digest of the peer's keys
+     * @return public identifiers, empty if the peer knows them all
+     */
+    public List<String> toWithdrawnAnswer(long peerDigest) {
+        return withdrawals.toAnswer(peerDigest);
+    }
+
+    /**
+     * Notes the digest of the withdrawn keys in a peer's answer.
+     *
+     * @param peerDigest the digest of the peer's keys
+     */
+    public void onWithdrawnAnswer(long peerDigest) {
+        withdrawals.onAnswer(peerDigest);
     }
 
     /**
@@ -149,20 +219,23 @@
      * @return changes in ascending order of their versions
      */
     public List<SettingChange> getChanges() {
-        synchronized (changes) {
-            return List.copyOf(changes);
+        synchronized (history) {
+            return history.getChanges();
         }
     }
 
     /**
      * Notes the version of a peer, and asks for its settings if it is newer.
      *
-     * @param address the peer
+     * @param peer the name of the peer's instance
+     * @param address the address of the peer
      * @param version the version in force there
+     * @param others the number of other live members known
      */
-    public void onPeerVersion(InetSocketAddress address, long version) {
-        if (version > 0 && version == getVersion()) {
-            ready = true;
+    public void onPeerVersion(String peer, InetSocketAddress address, long version, int others) {
+        synchronized (history) {
+            history.onPeer(peer, version);
+            ready = history.isReady(others);
         }
         if (version <= getVersion()) {
             return;
@@ -171,7 +244,7 @@
                 .thenCompose(connection -> connection
                         .request(new SettingsPullMessage(getVersion()))
                         .answer())
-                .whenComplete((message, failure) -> onPush(message, failure));
+                .whenComplete(this::onPush);
     }
 
     /**
@@ -182,133 +255,197 @@
      */
     public void onPull(PeerConnection connection, Frame frame) {
         long after = ((SettingsPullMessage) frame.message()).afterVersion();
-        List<SettingChange> newer = new ArrayList<>();
-        for (SettingChange change : getChanges()) {
-            if (change.version() > after) {
-                newer.add(change);
-            }
+        SettingsPushMessage push;
+        synchronized (history) {
+            SettingTree tree = history.getTree();
+            push = history.toPush(after)
+                    .map(newer -> new SettingsPushMessage(0, new TreeMap<>(), newer))
+                    .orElseGet(() ->
+                            new SettingsPushMessage(tree.getVersion(), new TreeMap<>(tree.getValues()), List.of()));
         }
-        boolean isComplete = newer.isEmpty() || newer.get(0).version() == after + 1;
-        SettingTree tree = getTree();
-        connection.send(
-                frame.id(),
-                isComplete && !(newer.isEmpty() && tree.getVersion() > after)
-                        ? new SettingsPushMessage(0, new TreeMap<>(), newer)
-                        : new SettingsPushMessage(tree.getVersion(), new TreeMap<>(tree.getValues()), List.of()));
+        connection.send(frame.id(), push);
     }
 
     /**
-     * Commits a change, which is checked against the newest settings first. Blocks.
+     * Commits a change, which is checked against the newest settings of the platform first. Blocks.
      *
      * @param changeId chosen by the author, the same in every attempt
      * @param author the operator
      * @param baseVersion the version that the author has seen
      * @param subtree the path within which a later change by another author is a conflict
-     * @param edits what to set and remove
-     * @return the version of the change, or empty after a conflict
+     * @param edits what to set and remove, all within the subtree
+     * @return the version of the change
+     * @throws SettingsConflictException if the subtree was changed after the base version
      * @throws SettingsException if the settings would not be valid
      * @throws PlatformException if the platform gives no answer; the change may have been accepted
      */
-    public Optional<Long> propose(
-            String changeId, String author, long baseVersion, String subtree, List<SettingEdit> edits)
-            throws SettingsException, PlatformException {
+    public long propose(String changeId, String author, long baseVersion, String subtree, List<SettingEdit> edits)
+            throws SettingsConflictException, SettingsException, PlatformException {
         for (int i = 0; i < MAX_COMMIT_ATTEMPTS; i++) {
             readLog();
-            Optional<Long> accepted = findAccepted(changeId);
+            List<SettingChange> later = readAfter(baseVersion);
+            Optional<Long> accepted = findAccepted(later, changeId);
             if (accepted.isPresent()) {
-                return accepted;
-            }
-            if (isChangedSince(baseVersion, subtree)) {
-                return Optional.empty();
+                return accepted.get();
             }
+            checkConflict(later, baseVersion, subtree);
             SettingTree tree = getTree();
+            SettingLimits.check(tree, subtree, edits);
+            checkKeys(edits);
             SettingChange change = new SettingChange(tree.getVersion() + 1, changeId, author, clock.wallMs(), edits);
             FleetSettings.of(tree.apply(change));
             if (log.commit(change)) {
                 apply(List.of(change));
-                return Optional.of(change.version());
+                return change.version();
             }
+            withdrawals.readAll();
         }
         throw new PlatformException("too many other changes at the same time");
     }
 
-    private Optional<Long> findAccepted(String changeId) {
-        for (SettingChange change : getChanges()) {
-            if (change.changeId().equals(changeId)) {
-                return Optional.of(change.version());
+    private List<SettingChange> readAfter(long version) throws PlatformException {
+        Optional<List<SettingChange>> kept;
+        synchronized (history) {
+            kept = history.findAfter(version);
+        }
+        if (kept.isPresent()) {
+            return kept.get();
+        }
+        List<SettingChange> later = new ArrayList<>();
+        List<SettingChange> page = log.readAfter(version);
+        while (!page.isEmpty()) {
+            later.addAll(page);
+            page = log.readAfter(page.get(page.size() - 1).version());
+        }
+        return later;
+    }
+
+    private static Optional<Long> findAccepted(List<SettingChange> later, String changeId) {
+        return later.stream()
+                .filter(change -> change.changeId().equals(changeId))
+                .map(SettingChange::version)
+                .findFirst();
+    }
+
+    private static void checkConflict(List<SettingChange> later, long baseVersion, String subtree)
+            throws SettingsConflictException {
+        for (int i = later.size() - 1; i >= 0; i--) {
+            SettingChange change = later.get(i);
+            if (change.edits().stream().anyMatch(edit -> edit.path().isWithin(subtree))) {
+                throw new SettingsConflictException(subtree, baseVersion, change);
             }
         }
-        return Optional.empty();
     }
 
-    private boolean isChangedSince(long version, String subtree) {
-        for (SettingChange change : getChanges()) {
-            if (change.version() > version
-                    && change.edits().stream().anyMatch(edit -> edit.path().isWithin(subtree))) {
-                return true;
+    private void checkKeys(List<SettingEdit> edits) throws SettingsException {
+        for (SettingEdit edit : edits) {
+            Optional<String> keyId = edit.path().getKeyId();
+            if (edit.value().isPresent() && keyId.isPresent() && isWithdrawn(keyId.get())) {
+                throw new SettingsException(List.of(edit.path() + ": this key was withdrawn; issue a new one"));
             }
         }
-        return false;
     }
 
     private void poll() {
         try {
+            long nowMs = clock.monotonicMs();
+            boolean isFull = nowMs >= nextFullPollMs || !platformReachable;
+            if (!isFull && !delegate && ready) {
+                withdrawals.storeNew();
+                return;
+            }
+            if (isFull && getVersion() == 0) {
+                snapshots.read().ifPresent(this::replace);
+            }
+            if (isFull && withdrawals.readAll()) {
+                listener.run();
+            }
             readLog();
+            withdrawals.storeNew();
+            writeSnapshot();
+            if (isFull) {
+                nextFullPollMs =
+                        nowMs + FALLBACK_POLL_MS + ThreadLocalRandom.current().nextLong(FALLBACK_POLL_MS);
+            }
+            markPlatform(true);
         } catch (PlatformException e) {
             if (platformReachable) {
                 Logger.warn("platform-unreachable reason=\"{}\"", e.getMessage());
             }
-            platformReachable = false;
+            markPlatform(false);
         } catch (RuntimeException e) {
             Logger.error(e, "settings-poll-failed");
         }
     }
 
+    private void markPlatform(boolean isAnswered) {
+        if (isAnswered && !platformReachable) {
+            Logger.info("platform-reachable version={}", getVersion());
+        }
+        platformReachable = isAnswered;
+        synchronized (history) {
+            history.onPlatform(isAnswered);
+            ready = history.isReady(0);
+        }
+    }
+
     private void readLog() throws PlatformException {
         List<SettingChange> newer = log.readAfter(getVersion());
         while (!newer.isEmpty()) {
             apply(newer);
             newer = log.readAfter(getVersion());
         }
-        if (!platformReachable) {
-            Logger.info("platform-reachable version={}", getVersion());
+    }
+
+    private void writeSnapshot() throws PlatformException {
+        SettingTree tree = getTree();
+        if (!delegate || tree.getVersion() - snapshotVersion < SNAPSHOT_CHANGES) {
+            return;
+        }
+        long stored = snapshots.read().map(SettingTree::getVersion).orElse(0L);
+        if (tree.getVersion() - stored >= SNAPSHOT_CHANGES) {
+            snapshots.write(tree);
+            Logger.info("settings-snapshot-written version={}", tree.getVersion());
+            stored = tree.getVersion();
         }
-        platformReachable = true;
-        ready = true;
+        snapshotVersion = stored;
     }
 
     private void onPush(Message message, Throwable failure) {
         if (failure != null || !(message instanceof SettingsPushMessage push)) {
             return;
         }
-        synchronized (changes) {
-            if (push.treeVersion() > getVersion()) {
-                changes.clear();
-                state = toState(SettingTree.of(push.treeVersion(), push.tree()));
-            }
+        if (push.treeVersion() > 0) {
+            replace(SettingTree.of(push.treeVersion(), push.tree()));
         }
         apply(push.changes());
-        ready = true;
     }
 
-    private void apply(List<SettingChange> newer) {
-        synchronized (changes) {
-            SettingTree tree = getTree();
-            for (SettingChange change : newer) {
-                if (change.version() != tree.getVersion() + 1) {
-                    continue;
-                }
-                tree = tree.apply(change);
-                changes.add(change);
-                Logger.info("settings-accepted version={} author={}", change.version(), change.author());
-            }
-            if (changes.size() > MAX_CHANGES_KEPT) {
-                changes.subList(0, changes.size() - MAX_CHANGES_KEPT).clear();
+    private void replace(SettingTree tree) {
+        synchronized (history) {
+            if (!history.replace(tree)) {
+                return;
             }
-            if (tree.getVersion() > getVersion()) {
-                state = toState(tree);
+            state = toState(tree);
+        }
+        metrics.getRegistry().counter("settings_replacements").inc();
+        listener.run();
+    }
+
+    private void apply(List<SettingChange> newer) {
+        List<SettingChange> applied;
+        synchronized (history) {
+            applied = history.apply(newer);
+            if (applied.isEmpty()) {
+                return;
             }
+            state = toState(history.getTree());
+        }
+        for (SettingChange change : applied) {
+            Logger.info("settings-accepted version={} author={}", change.version(), change.author());
         }
+        metrics.getRegistry().counter("settings_changes").inc(applied.size());
+        listener.run();
     }
 
     private State toState(SettingTree tree) {
--- /dev/null
+++ b/node/src/main/java/io/cranberryarch/node/config/WithdrawalService.java
@@ -0,0 +1,99 @@
+package io.cranberryarch.node.config;
+
+import io.cranberryarch.decision.key.WithdrawnKeys;
+import io.cranberryarch.node.metrics.NodeMetrics;
+import io.cranberryarch.platform.PlatformException;
+import io.cranberryarch.platform.WithdrawalStore;
+import java.util.Collection;
+import java.util.List;
+import java.util.Set;
+import org.tinylog.Logger;
+
+/** The withdrawn keys known to this node. A withdrawal is in force at once, and stored when the platform answers. */
+final class WithdrawalService {
+
+    private static final int STORE_BATCH = 100;
+
+    private final WithdrawalStore store;
+    private final NodeMetrics metrics;
+    private final WithdrawnKeys keys = new WithdrawnKeys();
+    private volatile Set<String> inForce = Set.of();
+
+    WithdrawalService(WithdrawalStore store, NodeMetrics metrics) {
+        this.store = store;
+        this.metrics = metrics;
+    }
+
+    boolean contains(String keyId) {
+        return inForce.contains(keyId);
+    }
+
+    boolean add(Collection<String> keyIds) {
+        synchronized (keys) {
+            if (!keys.add(keyIds)) {
+                return false;
+            }
+            inForce = Set.copyOf(keys.getAll());
+        }
+        metrics.getRegistry().counter("key_withdrawals").inc();
+        Logger.info("keys-withdrawn keys={}", keyIds);
+        return true;
+    }
+
+    List<String> getAll() {
+        synchronized (keys) {
+            return keys.getAll();
+        }
+    }
+
+    long getDigest() {
+        synchronized (keys) {
+            return keys.getDigest();
+        }
+    }
+
+    List<String> toRequest() {
+        synchronized (keys) {
+            return keys.toRequest();
+        }
+    }
+
+    List<String> toAnswer(long peerDigest) {
+        synchronized (keys) {
+            return keys.toAnswer(peerDigest);
+        }
+    }
+
+    void onAnswer(long peerDigest) {
+        synchronized (keys) {
+            keys.onAnswer(peerDigest);
+        }
+    }
+
+    /** Stores what is not known to be stored. Blocks. */
+    void storeNew() throws PlatformException {
+        List<String> unstored;
+        synchronized (keys) {
+            unstored = keys.findUnstored();
+        }
+        if (unstored.isEmpty()) {
+            return;
+        }
+        List<String> batch = unstored.subList(0, Math.min(STORE_BATCH, unstored.size()));
+        store.store(batch);
+        synchronized (keys) {
+            keys.onStored(batch);
+        }
+        Logger.info("keys-withdrawn-stored keys={}", batch);
+    }
+
+    /** Reads all keys from the platform. Blocks. */
+    boolean readAll() throws PlatformException {
+        List<String> stored = store.readAll();
+        boolean isNew = add(stored);
+        synchronized (keys) {
+            keys.onStored(stored);
+        }
+        return isNew;
+    }
+}
--- a/node/src/main/java/io/cranberryarch/node/http/AdminHandler.java
+++ b/node/src/main/java/io/cranberryarch/node/http/AdminHandler.java
@@ -8,6 +8,7 @@
 import io.cranberryarch.api.EditBody;
 import io.cranberryarch.api.ErrorBody;
 import io.cranberryarch.api.HistoryBody;
+import io.cranberryarch.api.KeysBody;
 import io.cranberryarch.api.SettingsBody;
 import io.cranberryarch.api.StatusBody;
 import io.cranberryarch.base.Digests;
@@ -15,11 +16,14 @@
 import io.cranberryarch.decision.membership.Member;
 import io.cranberryarch.decision.membership.MemberState;
 import io.cranberryarch.node.call.Gate;
+import io.cranberryarch.node.config.SettingsConflictException;
 import io.cranberryarch.node.config.SettingsService;
 import io.cranberryarch.node.member.MemberService;
 import io.cranberryarch.node.metrics.NodeMetrics;
 import io.cranberryarch.node.report.CountsReporter;
 import io.cranberryarch.platform.PlatformException;
+import io.cranberryarch.settings.AccountKey;
+import io.cranberryarch.settings.ClientAccount;
 import io.cranberryarch.settings.OperatorGrant;
 import io.cranberryarch.settings.SettingChange;
 import io.cranberryarch.settings.SettingEdit;
@@ -107,6 +111,7 @@
                     switch (request.getMethod() + " " + path) {
                         case "GET /v1/settings" -> readSettings(getParameter(request, "path", "/"), operator);
                         case "GET /v1/history" -> readHistory(getParameter(request, "path", "/"), operator);
+                        case "GET /v1/keys" -> listKeys(operator);
                         case "POST /v1/settings" -> change(body, operator);
                         case "GET /v1/status" -> toStatus();
                         case "POST /v1/drain" -> drain(operator);
@@ -171,14 +176,24 @@
             edits.add(new SettingEdit(path, Optional.ofNullable(edit.value())));
         }
         String subtree = "/teams/" + team.orElseThrow();
-        Optional<Long> version =
-                settings.propose(request.changeId(), operator.name(), request.baseVersion(), subtree, edits);
-        if (version.isEmpty()) {
-            throw new ApiException(
-                    409, "conflict", List.of(subtree + " was changed since version " + request.baseVersion()));
+        try {
+            long version = settings.propose(request.changeId(), operator.name(), request.baseVersion(), subtree, edits);
+            return new ChangeBody(version, operator.name(), 0, request.edits());
+        } catch (SettingsConflictException e) {
+            throw new ApiException(409, "conflict", List.of(e.getMessage()));
+        }
+    }
+
+    private KeysBody listKeys(OperatorGrant operator) {
+        List<KeysBody.KeyBody> keys = new ArrayList<>();
+        for (AccountKey key : new TreeMap<>(settings.getFleet().getKeys()).values()) {
+            Optional<String> team =
+                    settings.getFleet().getAccount(key.account()).map(ClientAccount::team);
+            if (operator.team().isEmpty() || operator.team().equals(team)) {
+                keys.add(new KeysBody.KeyBody(key.id(), key.account(), settings.isWithdrawn(key.id())));
+            }
         }
-        members.spread();
-        return new ChangeBody(version.get(), operator.name(), 0, request.edits());
+        return new KeysBody(keys);
     }
 
     private StatusBody toStatus() {
@@ -224,7 +239,6 @@
             throw new ApiException(403, "not-your-subtree", List.of("the key belongs to another team"));
         }
         settings.addWithdrawnKeys(List.of(keyId));
-        members.spread();
         return toStatus();
     }
 
--- a/node/src/main/java/io/cranberryarch/node/http/LocalHandler.java
+++ b/node/src/main/java/io/cranberryarch/node/http/LocalHandler.java
@@ -31,6 +31,8 @@
     /** The path of announcements. */
     public static final String ANNOUNCE_PATH = "/v1/announce";
 
+    private static final int MAX_SLOTS = 100_000;
+
     private final SettingsService settings;
     private final MemberService members;
     private final ActiveCalls activeCalls;
@@ -80,11 +82,15 @@
     private void announce(byte[] body, Response response, Callback callback) {
         try {
             AnnounceBody announcement = ApiJson.MAPPER.readValue(body, AnnounceBody.class);
+            if (announcement.state() == null || announcement.slots() < 1 || announcement.slots() > MAX_SLOTS) {
+                throw new IOException("state and slots from 1 to " + MAX_SLOTS + " are required");
+            }
             switch (announcement.state()) {
                 case "up" -> members.setState(MemberState.UP);
                 case "draining" -> members.setState(MemberState.DRAINING);
                 default -> throw new IOException("state must be up or draining");
             }
+            members.setSlots(announcement.slots());
             HttpAnswers.writeJson(response, callback, 200, announcement);
         } catch (IOException e) {
             ErrorBody error = new ErrorBody("bad-announcement", List.of(String.valueOf(e.getMessage())));
--- a/node/src/main/java/io/cranberryarch/node/member/MemberService.java
+++ b/node/src/main/java/io/cranberryarch/node/member/MemberService.java
@@ -1,36 +1,49 @@
 package io.cranberryarch.node.member;
 
+import io.cranberryarch.base.Clock;
+import io.cranberryarch.decision.membership.IndirectProbe;
 import io.cranberryarch.decision.membership.Member;
+import io.cranberryarch.decision.membership.MemberDelta;
 import io.cranberryarch.decision.membership.MemberState;
-import io.cranberryarch.decision.membership.MemberTable;
+import io.cranberryarch.decision.membership.Membership;
+import io.cranberryarch.decision.membership.Probe;
 import io.cranberryarch.node.NodeIdentity;
 import io.cranberryarch.node.config.SettingsService;
+import io.cranberryarch.node.metrics.NodeMetrics;
 import io.cranberryarch.node.peer.PeerConnection;
 import io.cranberryarch.node.peer.PeerNetwork;
 import io.cranberryarch.wire.Frame;
 import io.cranberryarch.wire.GossipMessage;
-import io.cranberryarch.wire.MemberRecord;
 import io.cranberryarch.wire.Message;
+import io.cranberryarch.wire.ProbeAnswerMessage;
+import io.cranberryarch.wire.ProbeMessage;
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.tinylog.Logger;
 
-/** Keeps this node's record, and exchanges records with a random peer at a fixed interval. Thread-safe. */
+/** Exchanges member records, withdrawn keys and the settings version with the peers that the decision names. */
 public final class MemberService {
 
-    private static final long GOSSIP_INTERVAL_MS = 300;
-    private static final MemberState[] STATES = MemberState.values();
+    private static final long PROBE_TIMEOUT_MS = 1_000;
+    private static final long SPREAD_DELAY_MS = 10;
+    private static final int SEED_ROUNDS = 60;
 
     private final PeerNetwork network;
     private final SettingsService settings;
+    private final NodeMetrics metrics;
+    private final Clock clock;
     private final List<InetSocketAddress> seeds;
-    private final MemberTable table = new MemberTable();
-    private Member self;
+    private final Membership membership;
+    private final AtomicBoolean spreading = new AtomicBoolean();
+    private volatile ScheduledExecutorService timer;
+    private int round;
 
     /**
      * Creates the service.
@@ -42,6 +55,8 @@
      * @param seeds peers to contact first
      * @param network the connections
      * @param settings the settings, whose version is told to peers
+     * @param metrics counts changes of members
+     * @param clock the clock
      */
     public MemberService(
             NodeIdentity identity,
@@ -50,11 +65,15 @@
             int slots,
             List<InetSocketAddress> seeds,
             PeerNetwork network,
-            SettingsService settings) {
+            SettingsService settings,
+            NodeMetrics metrics,
+            Clock clock) {
         this.network = network;
         this.settings = settings;
+        this.metrics = metrics;
+        this.clock = clock;
         this.seeds = List.copyOf(seeds);
-        this.self = new Member(
+        Member self = new Member(
                 identity.instance(),
                 identity.incarnation(),
                 0,
@@ -64,16 +83,18 @@
                 host,
                 peerPort,
                 slots);
-        table.merge(self);
+        this.membership = new Membership(self, clock.monotonicMs());
     }
 
     /**
      * Starts the exchange.
      *
-     * @param timer runs it
+     * @param newTimer runs it
      */
-    public void start(ScheduledExecutorService timer) {
-        timer.scheduleWithFixedDelay(this::gossip, 0, GOSSIP_INTERVAL_MS, TimeUnit.MILLISECONDS);
+    public void start(ScheduledExecutorService newTimer) {
+        timer = newTimer;
+        settings.setListener(this::spread);
+        newTimer.scheduleAtFixedRate(this::runRound, 0, Membership.ROUND_MS, TimeUnit.MILLISECONDS);
     }
 
     /**
@@ -81,33 +102,48 @@
      *
      * @return the record
      */
-    public synchronized Member getSelf() {
-        return self;
+    public Member getSelf() {
+        synchronized (membership) {
+            return membership.getSelf();
+        }
     }
 
     /**
-     * Changes this node's own state and tells some peers at once.
+     * Changes this node's own state and tells its peers at once.
      *
      * @param state the new state
      */
     public void setState(MemberState state) {
-        synchronized (this) {
-            if (self.state() == state) {
+        synchronized (membership) {
+            if (membership.getSelf().state() == state) {
                 return;
             }
-            self = self.toState(state);
-            table.merge(self);
+            membership.setSelf(membership.getSelf().toState(state), clock.monotonicMs());
         }
         Logger.info("member-state state={}", state);
         spread();
     }
 
-    /** Tells every known peer of this node's record, withdrawn keys and settings version at once. */
-    public void spread() {
-        for (Member member : getMembers()) {
-            if (!isSelf(member) && member.state() != MemberState.GONE) {
-                exchange(toAddress(member));
+    /**
+     * Changes the number of slots of the upstream and tells peers at once.
+     *
+     * @param slots requests that the upstream runs at once at most
+     */
+    public void setSlots(int slots) {
+        synchronized (membership) {
+            if (membership.getSelf().slots() == slots) {
+                return;
             }
+            membership.setSelf(membership.getSelf().toSlots(slots), clock.monotonicMs());
+        }
+        spread();
+    }
+
+    /** Tells the peers of this node at once what it knows; they pass on what is new to them. */
+    public void spread() {
+        ScheduledExecutorService current = timer;
+        if (current != null && !current.isShutdown() && spreading.compareAndSet(false, true)) {
+            current.schedule(this::sendNews, SPREAD_DELAY_MS, TimeUnit.MILLISECONDS);
         }
     }
 
@@ -117,8 +153,10 @@
      * @param service the service
      * @return the members
      */
-    public synchronized List<Member> findServing(String service) {
-        return table.findServing(service);
+    public List<Member> findServing(String service) {
+        synchronized (membership) {
+            return membership.getTable().findServing(service);
+        }
     }
 
     /**
@@ -126,8 +164,10 @@
      *
      * @return the records
      */
-    public synchronized Collection<Member> getMembers() {
-        return table.getAll();
+    public Collection<Member> getMembers() {
+        synchronized (membership) {
+            return membership.getTable().getAll();
+        }
     }
 
     /**
@@ -137,8 +177,39 @@
      * @param frame the frame with the gossip
      */
     public void onGossip(PeerConnection connection, Frame frame) {
-        merge((GossipMessage) frame.message());
-        connection.send(frame.id(), toMessage(true));
+        GossipMessage gossip = (GossipMessage) frame.message();
+        settings.addWithdrawnKeys(gossip.withdrawnKeys());
+        MemberDelta answer;
+        synchronized (membership) {
+            answer = membership.onDelta(MemberMessages.toDelta(gossip), clock.monotonicMs());
+        }
+        List<String> keys = settings.toWithdrawnAnswer(gossip.withdrawnDigest());
+        connection.send(frame.id(), toMessage(true, answer, keys));
+        find(connection.getPeerInstance())
+                .ifPresent(peer ->
+                        settings.onPeerVersion(peer.instance(), toAddress(peer), gossip.settingsVersion(), toQuorum()));
+        spreadChanges();
+    }
+
+    /**
+     * Probes a member for a peer that got no answer from it.
+     *
+     * @param connection the connection
+     * @param frame the frame with the request
+     */
+    public void onProbe(PeerConnection connection, Frame frame) {
+        Optional<Member> target = MemberMessages.toMember(((ProbeMessage) frame.message()).target());
+        if (target.isEmpty()) {
+            connection.send(frame.id(), new ProbeAnswerMessage(false));
+            return;
+        }
+        MemberDelta greeting;
+        synchronized (membership) {
+            greeting = membership.toGreeting();
+        }
+        request(toAddress(target.get()), toRequest(greeting), PROBE_TIMEOUT_MS)
+                .whenComplete((answer, failure) ->
+                        connection.send(frame.id(), new ProbeAnswerMessage(answer instanceof GossipMessage)));
     }
 
     /**
@@ -161,82 +232,157 @@
         return new InetSocketAddress(member.host(), member.peerPort());
     }
 
-    private void gossip() {
+    private void runRound() {
         try {
-            List<InetSocketAddress> targets = new ArrayList<>();
-            for (Member member : getMembers()) {
-                if (!isSelf(member) && member.state() != MemberState.GONE) {
-                    targets.add(toAddress(member));
-                }
+            List<Probe> probes;
+            boolean isAlone;
+            synchronized (membership) {
+                probes = membership.onRound(clock.monotonicMs(), nextRandom());
+                isAlone = membership.isAlone();
+                settings.setDelegate(membership.isDelegate());
             }
-            if (targets.isEmpty()) {
-                targets.addAll(seeds);
+            probes.forEach(this::send);
+            if (!seeds.isEmpty() && (isAlone || round % SEED_ROUNDS == 0)) {
+                greet(seeds.get(ThreadLocalRandom.current().nextInt(seeds.size())));
             }
-            if (!targets.isEmpty()) {
-                exchange(targets.get(ThreadLocalRandom.current().nextInt(targets.size())));
+            round++;
+            spreadChanges();
+        } catch (RuntimeException e) {
+            Logger.error(e, "member-round-failed");
+        }
+    }
+
+    private void sendNews() {
+        spreading.set(false);
+        try {
+            List<Probe> probes;
+            synchronized (membership) {
+                probes = membership.onNews();
             }
+            probes.forEach(this::send);
         } catch (RuntimeException e) {
-            Logger.error(e, "gossip-failed");
+            Logger.error(e, "member-news-failed");
         }
     }
 
-    private void exchange(InetSocketAddress address) {
-        network.connect(address)
-                .thenCompose(connection -> connection.request(toMessage(false)).answer())
-                .whenComplete((message, failure) -> onAnswer(address, message, failure));
+    private void spreadChanges() {
+        boolean isChanged;
+        synchronized (membership) {
+            isChanged = membership.takeChanged();
+        }
+        if (isChanged) {
+            metrics.getRegistry().counter("member_changes").inc();
+            spread();
+        }
     }
 
-    private void onAnswer(InetSocketAddress address, Message message, Throwable failure) {
-        if (failure != null) {
-            Logger.debug("gossip-unanswered address={} reason=\"{}\"", address, failure.getMessage());
-        } else if (message instanceof GossipMessage gossip) {
-            merge(gossip);
-            settings.onPeerVersion(address, gossip.settingsVersion());
+    private void greet(InetSocketAddress seed) {
+        MemberDelta greeting;
+        synchronized (membership) {
+            greeting = membership.toGreeting();
         }
+        exchange(seed, greeting);
     }
 
-    private void merge(GossipMessage gossip) {
-        synchronized (this) {
-            for (MemberRecord record : gossip.members()) {
-                mergeRecord(record);
+    private void send(Probe probe) {
+        exchange(toAddress(probe.target()), probe.delta()).whenComplete((done, failure) -> {
+            if (failure != null && probe.isJudged()) {
+                onFailure(probe.target(), failure);
             }
-        }
+        });
+    }
+
+    private CompletableFuture<Message> exchange(InetSocketAddress address, MemberDelta delta) {
+        return request(address, toRequest(delta), PROBE_TIMEOUT_MS).whenComplete((message, failure) -> {
+            if (message instanceof GossipMessage gossip) {
+                onAnswer(address, gossip);
+            }
+        });
+    }
+
+    private void onAnswer(InetSocketAddress address, GossipMessage gossip) {
+        Optional<Member> peer = findByAddress(address);
         settings.addWithdrawnKeys(gossip.withdrawnKeys());
+        settings.onWithdrawnAnswer(gossip.withdrawnDigest());
+        Optional<MemberDelta> next;
+        synchronized (membership) {
+            next = membership.onAnswer(
+                    peer.map(Member::instance).orElse(""), MemberMessages.toDelta(gossip), clock.monotonicMs());
+        }
+        settings.onPeerVersion(
+                peer.map(Member::instance).orElse(address.toString()), address, gossip.settingsVersion(), toQuorum());
+        spreadChanges();
+        next.ifPresent(delta -> exchange(address, delta));
     }
 
-    private void mergeRecord(MemberRecord record) {
-        if (record.state() < 0 || record.state() >= STATES.length) {
-            return;
+    private void onFailure(Member target, Throwable failure) {
+        Logger.debug("probe-unanswered instance={} reason=\"{}\"", target.instance(), failure.getMessage());
+        List<IndirectProbe> probes;
+        synchronized (membership) {
+            probes = membership.onFailure(target, clock.monotonicMs(), nextRandom());
         }
-        Member member = new Member(
-                record.instance(),
-                record.incarnation(),
-                record.sequence(),
-                STATES[record.state()],
-                record.zone(),
-                record.service(),
-                record.host(),
-                record.peerPort(),
-                record.slots());
-        if (!member.instance().equals(self.instance())) {
-            table.merge(member);
-        }
-    }
-
-    private synchronized GossipMessage toMessage(boolean isAnswer) {
-        List<MemberRecord> records = new ArrayList<>();
-        for (Member member : table.getAll()) {
-            records.add(new MemberRecord(
-                    member.instance(),
-                    member.incarnation(),
-                    member.sequence(),
-                    member.state().ordinal(),
-                    member.zone(),
-                    member.service(),
-                    member.host(),
-                    member.peerPort(),
-                    member.slots()));
-        }
-        return new GossipMessage(isAnswer, settings.getVersion(), records, settings.getWithdrawnKeys());
+        for (IndirectProbe probe : probes) {
+            ProbeMessage message = new ProbeMessage(MemberMessages.toRecord(probe.target()));
+            request(toAddress(probe.via()), message, 2 * PROBE_TIMEOUT_MS)
+                    .whenComplete((answer, lost) -> onIndirect(probe, answer));
+        }
+        spreadChanges();
+    }
+
+    private void onIndirect(IndirectProbe probe, Message answer) {
+        boolean isAnswered = answer instanceof ProbeAnswerMessage result && result.isAnswered();
+        synchronized (membership) {
+            membership.onIndirect(probe.target(), isAnswered, clock.monotonicMs());
+        }
+        spreadChanges();
+    }
+
+    private CompletableFuture<Message> request(InetSocketAddress address, Message message, long timeoutMs) {
+        CompletableFuture<Message> answer = network.connect(address).thenCompose(connection -> {
+            PeerConnection.PendingRequest pending = connection.request(message);
+            timer.schedule(() -> connection.forget(pending.id()), timeoutMs, TimeUnit.MILLISECONDS);
+            return pending.answer();
+        });
+        return answer.orTimeout(timeoutMs, TimeUnit.MILLISECONDS);
+    }
+
+    private GossipMessage toRequest(MemberDelta delta) {
+        return toMessage(false, delta, settings.toWithdrawnRequest());
+    }
+
+    private GossipMessage toMessage(boolean isAnswer, MemberDelta delta, List<String> keys) {
+        return new GossipMessage(
+                isAnswer,
+                settings.getVersion(),
+                delta.digest(),
+                delta.bucketDigests(),
+                MemberMessages.toRecords(delta),
+                settings.getWithdrawnDigest(),
+                keys);
+    }
+
+    private Optional<Member> find(String instance) {
+        synchronized (membership) {
+            return membership.getTable().find(instance);
+        }
+    }
+
+    private Optional<Member> findByAddress(InetSocketAddress address) {
+        for (Member member : getMembers()) {
+            if (member.state().isLive() && toAddress(member).equals(address)) {
+                return Optional.of(member);
+            }
+        }
+        return Optional.empty();
+    }
+
+    private int toQuorum() {
+        synchronized (membership) {
+            return membership.getTable().findLive().size() - 1;
+        }
+    }
+
+    private static long nextRandom() {
+        return ThreadLocalRandom.current().nextLong();
     }
 }
--- a/node/src/main/java/io/cranberryarch/node/peer/PeerConnection.java
+++ b/node/src/main/java/io/cranberryarch/node/peer/PeerConnection.java
@@ -255,7 +255,7 @@
             case PONG -> {
                 // The time of the last sign of life was noted already.
             }
-            case ANSWER, GOSSIP_ANSWER, SETTINGS_PUSH -> onAnswer(frame);
+            case ANSWER, GOSSIP_ANSWER, PROBE_ANSWER, SETTINGS_PUSH -> onAnswer(frame);
             default -> handler.onFrame(this, frame);
         }
     }
--- a/operator/src/main/java/io/cranberryarch/operator/AdminClient.java
+++ b/operator/src/main/java/io/cranberryarch/operator/AdminClient.java
@@ -8,6 +8,7 @@
 import io.cranberryarch.api.EditBody;
 import io.cranberryarch.api.ErrorBody;
 import io.cranberryarch.api.HistoryBody;
+import io.cranberryarch.api.KeysBody;
 import io.cranberryarch.api.SettingsBody;
 import io.cranberryarch.api.StatusBody;
 import io.cranberryarch.base.Digests;
@@ -81,6 +82,10 @@
         return send("POST", "/v1/drain", Optional.empty(), StatusBody.class);
     }
 
+    KeysBody readKeys() throws ApiFailure {
+        return send("GET", "/v1/keys", Optional.empty(), KeysBody.class);
+    }
+
     StatusBody withdraw(String keyId) throws ApiFailure {
         return send("POST", "/v1/withdraw?key=" + encode(keyId), Optional.empty(), StatusBody.class);
     }
--- a/operator/src/main/java/io/cranberryarch/operator/KeyCommand.java
+++ b/operator/src/main/java/io/cranberryarch/operator/KeyCommand.java
@@ -1,6 +1,7 @@
 package io.cranberryarch.operator;
 
 import io.cranberryarch.api.EditBody;
+import io.cranberryarch.api.KeysBody;
 import io.cranberryarch.base.Digests;
 import java.util.List;
 import picocli.CommandLine.Command;
@@ -8,8 +9,8 @@
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
 
-/** Issues and withdraws keys of client accounts. */
-@Command(name = "key", description = "Issues and withdraws keys of client accounts.")
+/** Issues, lists and withdraws keys of client accounts. */
+@Command(name = "key", description = "Issues, lists and withdraws keys of client accounts.")
 public final class KeyCommand {
 
     private static final int ID_BYTES = 6;
@@ -35,6 +36,16 @@
         }
     }
 
+    @Command(name = "list", description = "Prints the keys with their accounts, without their secrets.")
+    int list(@Mixin NodeOptions node) throws ApiFailure {
+        try (AdminClient client = node.connect()) {
+            for (KeysBody.KeyBody key : client.readKeys().keys()) {
+                System.out.println(key.id() + " " + key.account() + (key.withdrawn() ? " withdrawn" : " in force"));
+            }
+            return ExitCodes.OK;
+        }
+    }
+
     @Command(name = "withdraw", description = "Withdraws a key for good, also while the platform is down.")
     int withdraw(
             @Mixin NodeOptions node,
--- a/settings/src/main/java/io/cranberryarch/settings/FleetSettings.java
+++ b/settings/src/main/java/io/cranberryarch/settings/FleetSettings.java
@@ -92,6 +92,15 @@
         return Optional.ofNullable(keys.get(id));
     }
 
+    /**
+     * Gets all keys.
+     *
+     * @return keys by public identifier, unmodifiable
+     */
+    public Map<String, AccountKey> getKeys() {
+        return keys;
+    }
+
     /**
      * Gets the operator who holds a token.
      *
--- a/settings/src/main/java/io/cranberryarch/settings/SettingPath.java
+++ b/settings/src/main/java/io/cranberryarch/settings/SettingPath.java
@@ -21,6 +21,8 @@
 
     private static final Pattern SEGMENT = Pattern.compile("[a-z0-9][a-z0-9._-]{0,62}");
     private static final String TEAMS = "teams";
+    private static final String KEYS = "keys";
+    private static final int KEY_ID_INDEX = 3;
 
     /** Copies the segments. */
     public SettingPath {
@@ -56,6 +58,18 @@
         return segments.size() > 1 && segments.get(0).equals(TEAMS) ? Optional.of(segments.get(1)) : Optional.empty();
     }
 
+    /**
+     * Gets the key that this path belongs to.
+     *
+     * @return the public identifier, or empty if the path is not part of a key
+     */
+    public Optional<String> getKeyId() {
+        boolean isKey = getTeam().isPresent()
+                && segments.size() > KEY_ID_INDEX
+                && segments.get(KEY_ID_INDEX - 1).equals(KEYS);
+        return isKey ? Optional.of(segments.get(KEY_ID_INDEX)) : Optional.empty();
+    }
+
     /**
      * Checks whether this path is the given one or lies below it.
      *
--- a/wire/src/main/java/io/cranberryarch/wire/GossipMessage.java
+++ b/wire/src/main/java/io/cranberryarch/wire/GossipMessage.java
@@ -7,19 +7,29 @@
 import org.msgpack.core.MessageUnpacker;
 
 /**
- * Tells a peer about members, withdrawn keys and the version of the settings.
+ * Tells a peer about changed members, withdrawn keys and the version of the settings.
  *
  * @param isAnswer whether this answers a message of the receiver
  * @param settingsVersion the version of the settings in force at the sender
- * @param members members known to the sender
- * @param withdrawnKeys identifiers of keys withdrawn lately
+ * @param memberDigest the digest of all live member records of the sender
+ * @param bucketDigests digests of parts of these records, empty unless the digests differed
+ * @param members changed records, and records of parts that differ
+ * @param withdrawnDigest the digest of all withdrawn keys known to the sender
+ * @param withdrawnKeys identifiers of keys withdrawn lately, or of all if the digests differed
  */
 public record GossipMessage(
-        boolean isAnswer, long settingsVersion, List<MemberRecord> members, List<String> withdrawnKeys)
+        boolean isAnswer,
+        long settingsVersion,
+        long memberDigest,
+        List<Long> bucketDigests,
+        List<MemberRecord> members,
+        long withdrawnDigest,
+        List<String> withdrawnKeys)
         implements Message {
 
     /** Copies the lists. */
     public GossipMessage {
+        bucketDigests = List.copyOf(bucketDigests);
         members = List.copyOf(members);
         withdrawnKeys = List.copyOf(withdrawnKeys);
     }
@@ -34,17 +44,24 @@
 
     private static GossipMessage read(MessageUnpacker in, boolean isAnswer) throws IOException {
         long version = in.unpackLong();
+        long digest = in.unpackLong();
+        int bucketCount = Fields.readCount(in);
+        List<Long> buckets = new ArrayList<>();
+        for (int i = 0; i < bucketCount; i++) {
+            buckets.add(in.unpackLong());
+        }
         int count = Fields.readCount(in);
         List<MemberRecord> members = new ArrayList<>();
         for (int i = 0; i < count; i++) {
             members.add(MemberRecord.read(in));
         }
+        long withdrawnDigest = in.unpackLong();
         int keyCount = Fields.readCount(in);
         List<String> keys = new ArrayList<>();
         for (int i = 0; i < keyCount; i++) {
             keys.add(in.unpackString());
         }
-        return new GossipMessage(isAnswer, version, members, keys);
+        return new GossipMessage(isAnswer, version, digest, buckets, members, withdrawnDigest, keys);
     }
 
     @Override
@@ -55,10 +72,16 @@
     @Override
     public void write(MessagePacker out) throws IOException {
         out.packLong(settingsVersion);
+        out.packLong(memberDigest);
+        out.packArrayHeader(bucketDigests.size());
+        for (long digest : bucketDigests) {
+            out.packLong(digest);
+        }
         out.packArrayHeader(members.size());
         for (MemberRecord member : members) {
             member.write(out);
         }
+        out.packLong(withdrawnDigest);
         out.packArrayHeader(withdrawnKeys.size());
         for (String key : withdrawnKeys) {
             out.packString(key);
--- a/wire/src/main/java/io/cranberryarch/wire/MessageType.java
+++ b/wire/src/main/java/io/cranberryarch/wire/MessageType.java
@@ -24,6 +24,10 @@
     GOSSIP(8, GossipMessage::readRequest),
     /** Answers a gossip message with what the receiver knows. */
     GOSSIP_ANSWER(11, GossipMessage::readAnswer),
+    /** Asks the receiver to probe another member. */
+    PROBE(40, ProbeMessage::read),
+    /** Tells whether a probed member answered. */
+    PROBE_ANSWER(41, ProbeAnswerMessage::read),
     /** Asks for settings after a version. */
     SETTINGS_PULL(9, SettingsPullMessage::read),
     /** Changes of the settings, or a whole tree. */
