--- a/decision/src/main/java/io/cranberryarch/decision/membership/MemberTable.java
+++ b/decision/src/main/java/io/cranberryarch/decision/membership/MemberTable.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -20,6 +21,7 @@
 
     private final Map<String, Member> members = new HashMap<>();
     private final Map<String, Long> goneSinceMs = new HashMap<>();
+    private final Map<String, List<Member>> serving = new HashMap<>();
     private final long[] digests = new long[BUCKETS];
     private long changes;
 
@@ -37,6 +39,7 @@
         }
         members.put(member.instance(), member);
         changes++;
+        serving.clear();
         if (known != null) {
             toggleDigest(known);
         }
@@ -78,16 +81,21 @@
      * Lists the members that take calls for a service.
      *
      * @param service the service
-     * @return the members in no particular order
+     * @return the members in ascending order of their names, unmodifiable; the same list until a record changes
      */
     public List<Member> findServing(String service) {
+        return serving.computeIfAbsent(service, this::listServing);
+    }
+
+    private List<Member> listServing(String service) {
         List<Member> found = new ArrayList<>();
         for (Member member : members.values()) {
             if (member.state().isServing() && member.service().equals(service)) {
                 found.add(member);
             }
         }
-        return found;
+        found.sort(Comparator.comparing(Member::instance));
+        return List.copyOf(found);
     }
 
     /**
--- /dev/null
+++ b/decision/src/test/java/io/cranberryarch/decision/key/WithdrawnKeysTest.java
@@ -0,0 +1,67 @@
+package io.cranberryarch.decision.key;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+
+class WithdrawnKeysTest {
+
+    private static final int NODES = 8;
+
+    @Property(tries = 200, seed = "41")
+    void withdrawalNeverWorksAgainAndReachesAllAfterACutHeals(@ForAll long seed) {
+        Random random = new Random(seed);
+        List<WithdrawnKeys> nodes = new ArrayList<>();
+        List<Set<String>> known = new ArrayList<>();
+        for (int i = 0; i < NODES; i++) {
+            nodes.add(new WithdrawnKeys());
+            known.add(new HashSet<>());
+        }
+        for (int step = 0; step < 300; step++) {
+            int node = random.nextInt(NODES);
+            int peer = random.nextInt(NODES);
+            if (step % 20 == 0) {
+                nodes.get(node).add(List.of("k" + step));
+            } else if (node % 2 == peer % 2) {
+                exchange(nodes.get(node), nodes.get(peer), random.nextInt(3) == 0);
+            }
+            for (int i = 0; i < NODES; i++) {
+                assertTrue(nodes.get(i).getAll().containsAll(known.get(i)), "a withdrawal was undone");
+                known.get(i).addAll(nodes.get(i).getAll());
+            }
+        }
+        for (int round = 0; round < 4; round++) {
+            for (int i = 0; i < NODES; i++) {
+                exchange(nodes.get(i), nodes.get((i + 1) % NODES), false);
+                exchange(nodes.get(i), nodes.get((i + 1) % NODES), false);
+            }
+        }
+        nodes.forEach(node -> assertEquals(15, node.getAll().size()));
+    }
+
+    @Property(tries = 50, seed = "42")
+    void everyNodeKeepsAKeyForStoringUntilItIsStored(@ForAll long seed) {
+        WithdrawnKeys keys = new WithdrawnKeys();
+        keys.add(List.of("k" + seed, "other"));
+        keys.onStored(List.of("k" + seed));
+        assertEquals(List.of("other"), keys.findUnstored());
+        keys.add(List.of("k" + seed));
+        assertEquals(List.of("other"), keys.findUnstored());
+    }
+
+    private static void exchange(WithdrawnKeys node, WithdrawnKeys peer, boolean isAnswerLost) {
+        peer.add(node.toRequest());
+        List<String> answer = peer.toAnswer(node.getDigest());
+        if (!isAnswerLost) {
+            node.add(answer);
+            node.onAnswer(peer.getDigest());
+        }
+    }
+}
--- a/node/src/main/java/io/cranberryarch/node/Node.java
+++ b/node/src/main/java/io/cranberryarch/node/Node.java
@@ -2,7 +2,6 @@
 
 import io.cranberryarch.base.Closer;
 import io.cranberryarch.decision.membership.Member;
-import io.cranberryarch.decision.membership.MemberState;
 import io.cranberryarch.node.peer.PeerConnection;
 import io.cranberryarch.settings.NodeConfig;
 import io.cranberryarch.wire.Frame;
@@ -20,10 +19,6 @@
  */
 public final class Node implements AutoCloseable {
 
-    private static final long STOP_TIMEOUT_MS = 10_000;
-    private static final long LEAVE_NOTICE_MS = 1_000;
-    private static final long STOP_POLL_MS = 20;
-
     private final Closer closer;
     private final NodeComponent parts;
 
@@ -51,6 +46,8 @@
             parts.settings().start(parts.blocking());
             parts.members().start(parts.timer());
             parts.leases().start(parts.blocking());
+            parts.rates().start(parts.timer());
+            parts.keys().start(parts.timer());
             parts.counts().start(parts.blocking());
             Logger.info(
                     "node-started instance={} zone={} service={}", config.instance(), config.zone(), config.service());
@@ -104,7 +101,7 @@
      * @return whether it is ready
      */
     public boolean isReady() {
-        return parts.settings().isReady();
+        return parts.settings().isReady() && parts.rates().isReady();
     }
 
     /**
@@ -147,16 +144,7 @@
      */
     @Override
     public void close() throws Exception {
-        parts.members().setState(MemberState.DRAINING);
-        long endMs = System.currentTimeMillis() + STOP_TIMEOUT_MS;
-        Thread.sleep(LEAVE_NOTICE_MS);
-        while (getInFlight() > 0 && System.currentTimeMillis() < endMs) {
-            Thread.sleep(STOP_POLL_MS);
-        }
-        parts.leases().releaseAll();
-        parts.members().setState(MemberState.GONE);
-        parts.counts().flush();
-        Logger.info("node-stopped in-flight={}", getInFlight());
+        new GracefulStop(parts).run();
         closer.close();
     }
 
@@ -165,6 +153,7 @@
             case CALL -> parts.calls().onCall(connection, frame);
             case GOSSIP -> parts.members().onGossip(connection, frame);
             case PROBE -> parts.members().onProbe(connection, frame);
+            case TOKEN_REQUEST -> parts.tokens().onRequest(connection, frame);
             case SETTINGS_PULL -> parts.settings().onPull(connection, frame);
             default -> Logger.debug("frame-ignored type={}", frame.message().getType());
         }
