--- a/node/src/main/java/io/cranberryarch/node/call/CallService.java
+++ b/node/src/main/java/io/cranberryarch/node/call/CallService.java
@@ -5,7 +5,6 @@
 import io.cranberryarch.context.CallResult;
 import io.cranberryarch.context.Execution;
 import io.cranberryarch.context.HeaderField;
-import io.cranberryarch.context.LoadReport;
 import io.cranberryarch.context.Refusal;
 import io.cranberryarch.context.RefusalReason;
 import io.cranberryarch.context.RequestHeaders;
@@ -13,8 +12,8 @@
 import io.cranberryarch.decision.retry.RetryBudget;
 import io.cranberryarch.decision.retry.RetryDecision;
 import io.cranberryarch.decision.retry.RetryRatio;
-import io.cranberryarch.decision.routing.InstanceChoice;
 import io.cranberryarch.node.member.MemberService;
+import io.cranberryarch.node.member.RoutingService;
 import io.cranberryarch.node.peer.PeerConnection;
 import io.cranberryarch.node.peer.PeerLostException;
 import io.cranberryarch.node.peer.PeerNetwork;
@@ -31,7 +30,6 @@
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.tinylog.Logger;
 
@@ -46,7 +44,7 @@
     private final Gate gate;
     private final KeyService keys;
     private final ScheduledExecutorService timer;
-    private final Map<String, LoadReport> loads = new ConcurrentHashMap<>();
+    private final RoutingService routing;
     private final Map<String, RetryRatio> ratios = new ConcurrentHashMap<>();
 
     /**
@@ -54,6 +52,7 @@
      *
      * @param clock the clock
      * @param members the members known
+     * @param routing chooses instances
      * @param network the connections to peers
      * @param gate the gate of this node, used without a connection
      * @param keys finds the nodes of calls with idempotency keys
@@ -62,12 +61,14 @@
     public CallService(
             Clock clock,
             MemberService members,
+            RoutingService routing,
             PeerNetwork network,
             Gate gate,
             KeyService keys,
             ScheduledExecutorService timer) {
         this.clock = clock;
         this.members = members;
+        this.routing = routing;
         this.network = network;
         this.gate = gate;
         this.keys = keys;
@@ -162,11 +163,6 @@
         return Refusal.ofNotRun(RefusalReason.NO_UPSTREAM, RETRY_AFTER_MS);
     }
 
-    private double toLoad(Member member) {
-        LoadReport load = loads.get(member.instance());
-        return load == null ? 0 : (double) load.inFlight() / Math.max(1, load.limit());
-    }
-
     /** The attempts of one call, one after the other. */
     private final class Attempts {
 
@@ -190,12 +186,13 @@
         }
 
         void next() {
-            Optional<Member> member = isKeyed ? keys.findTarget(call, keyOwner) : pick();
+            Optional<Member> member = isKeyed ? keys.findTarget(call, keyOwner) : routing.choose(call.service(), tried);
             if (member.isEmpty()) {
                 finish(refuse(isKeyed ? keys.toUnreachable(call) : toNoUpstream(), budget.getTokens()));
                 return;
             }
             tried.add(member.get().instance());
+            long startedAtMs = clock.monotonicMs();
             long leftMs = Math.max(0, deadlineMs - clock.monotonicMs());
             int lent = budget.lend();
             CallRequest attempt = call.toAttempt(leftMs, lent);
@@ -205,16 +202,12 @@
                     current.cancel(false);
                 }
             });
-            current.whenComplete((answer, failure) -> onAnswer(member.get(), answer, failure));
-        }
-
-        private Optional<Member> pick() {
-            return InstanceChoice.pick(
-                    members.findServing(call.service()),
-                    members.getSelf().zone(),
-                    tried,
-                    CallService.this::toLoad,
-                    ThreadLocalRandom.current().nextLong());
+            current.whenComplete((answer, failure) -> {
+                if (!isKeyed) {
+                    routing.onEnd(member.get(), Optional.ofNullable(answer), startedAtMs);
+                }
+                onAnswer(answer, failure);
+            });
         }
 
         private void finish(CallResult last) {
@@ -248,7 +241,7 @@
             }
         }
 
-        private void onAnswer(Member member, CallResult answer, Throwable failure) {
+        private void onAnswer(CallResult answer, Throwable failure) {
             if (result.isDone()) {
                 return;
             }
@@ -260,7 +253,6 @@
                 return;
             }
             mayHaveRun |= answer.refusal().isPresent() && answer.toExecution() != Execution.NOT_RUN;
-            answer.load().ifPresent(load -> loads.put(member.instance(), load));
             budget.giveBack(answer.retryTokens());
             boolean isAgain = answer.refusal().isPresent()
                     && isAgainAllowed(answer)
--- /dev/null
+++ b/node/src/test/java/io/cranberryarch/node/config/SettingsFleetTest.java
@@ -0,0 +1,221 @@
+package io.cranberryarch.node.config;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.cranberryarch.api.ApiJson;
+import io.cranberryarch.api.ChangeBody;
+import io.cranberryarch.api.ChangeRequest;
+import io.cranberryarch.api.EditBody;
+import io.cranberryarch.api.ErrorBody;
+import io.cranberryarch.api.StatusBody;
+import io.cranberryarch.base.Digests;
+import io.cranberryarch.node.FleetFixture;
+import io.cranberryarch.node.Node;
+import io.cranberryarch.platform.PlatformException;
+import io.cranberryarch.platform.SettingsSnapshots;
+import io.cranberryarch.platform.WithdrawalStore;
+import io.cranberryarch.standin.PlatformFaults;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.IntPredicate;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class SettingsFleetTest {
+
+    private static final HttpClient CLIENT = HttpClient.newHttpClient();
+    private static final int NODES = 12;
+    private static final PlatformFaults DOWN = new PlatformFaults(true, 0, false);
+    private static final PlatformFaults ANSWERS_LOST = new PlatformFaults(false, 0, true);
+
+    private FleetFixture fleet;
+
+    @BeforeEach
+    void start() throws Exception {
+        fleet = new FleetFixture();
+        for (int i = 0; i < NODES; i++) {
+            fleet.add("n" + i, i % 2 == 0 ? "zone-a" : "zone-b", i < 2 ? "orders" : "history", 10);
+        }
+        fleet.awaitReady();
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        fleet.close();
+    }
+
+    @Test
+    void withdrawalIsInForceEverywhereWhileThePlatformIsDownAndIsNeverUndone() throws Exception {
+        assertEquals(200, call(3));
+        fleet.getPlatform().setFaults(DOWN);
+        long startMs = System.currentTimeMillis();
+        assertEquals(
+                200, send(fleet.toAdmin(0), "POST", "/v1/withdraw?key=k1", "").statusCode());
+        FleetFixture.await(() -> allNodes(node -> call(node) == 401));
+        System.out.println("measured withdrawal_ms=" + (System.currentTimeMillis() - startMs) + " nodes=" + NODES);
+        fleet.add("late", "zone-a", "history", 10);
+        FleetFixture.await(() -> call(NODES) == 401);
+        fleet.getPlatform().setFaults(PlatformFaults.NONE);
+        WithdrawalStore store = new WithdrawalStore(fleet.getPlatform().getPlatform());
+        FleetFixture.await(() -> {
+            try {
+                return store.readAll().contains("k1");
+            } catch (PlatformException e) {
+                return false;
+            }
+        });
+        HttpResponse<String> again = change(5, "again", "/teams/shop/keys/k1/sha256", "0".repeat(64));
+        assertEquals(400, again.statusCode(), again.body());
+        assertEquals(401, call(7));
+        for (int i = 0; i < NODES; i++) {
+            assertEquals(0, fleet.getUpstream(i).getCredentials());
+        }
+    }
+
+    @Test
+    void changeIsInForceEverywhereAndRacingOperatorsGetOneWinner() throws Exception {
+        List<CompletableFuture<HttpResponse<String>>> answers = new ArrayList<>();
+        long startMs = System.currentTimeMillis();
+        for (int i = 0; i < NODES; i++) {
+            String rate = String.valueOf(100 + i);
+            int node = i;
+            answers.add(CompletableFuture.supplyAsync(
+                    () -> change(node, "race-" + rate, "/teams/shop/accounts/acme/rate", rate)));
+        }
+        int winners = 0;
+        for (CompletableFuture<HttpResponse<String>> answer : answers) {
+            HttpResponse<String> response = answer.join();
+            if (response.statusCode() == 200) {
+                winners++;
+            } else {
+                assertEquals(409, response.statusCode(), response.body());
+                String detail = ApiJson.MAPPER
+                        .readValue(response.body(), ErrorBody.class)
+                        .details()
+                        .get(0);
+                assertTrue(detail.endsWith("version 2 by owner"), detail);
+            }
+        }
+        assertEquals(1, winners);
+        FleetFixture.await(() -> allNodes(node -> version(node) == 2));
+        System.out.println("measured settings_ms=" + (System.currentTimeMillis() - startMs) + " nodes=" + NODES);
+    }
+
+    @Test
+    void changesOfDifferentTeamsDoNotConflict() throws Exception {
+        List<CompletableFuture<HttpResponse<String>>> answers = new ArrayList<>();
+        for (int i = 0; i < NODES; i++) {
+            int node = i;
+            answers.add(CompletableFuture.supplyAsync(() -> change(
+                    node, "team-" + node, "/teams/t" + node + "/operators/o/sha256", Digests.toSha256Hex("o" + node))));
+        }
+        for (CompletableFuture<HttpResponse<String>> answer : answers) {
+            assertEquals(200, answer.join().statusCode(), answer.join().body());
+        }
+        FleetFixture.await(() -> allNodes(node -> version(node) == 1 + NODES));
+    }
+
+    @Test
+    void lostAnswerOfACommitIsResolvedAlsoAfterOtherChanges() throws Exception {
+        fleet.getPlatform().setFaults(ANSWERS_LOST);
+        HttpResponse<String> lost = change(0, "lost", "/teams/shop/accounts/acme/rate", "55");
+        assertEquals(503, lost.statusCode(), lost.body());
+        fleet.getPlatform().setFaults(PlatformFaults.NONE);
+        HttpResponse<String> first = change(0, "lost", "/teams/shop/accounts/acme/rate", "55");
+        assertEquals(200, first.statusCode(), first.body());
+        long version = ApiJson.MAPPER.readValue(first.body(), ChangeBody.class).version();
+        FleetFixture.await(() -> allNodes(node -> version(node) == version));
+        assertEquals(
+                200,
+                change(4, "next", "/teams/shop/accounts/acme/rate", "66", version)
+                        .statusCode());
+        HttpResponse<String> again = change(1, "lost", "/teams/shop/accounts/acme/rate", "55");
+        assertEquals(
+                version,
+                ApiJson.MAPPER.readValue(again.body(), ChangeBody.class).version());
+        FleetFixture.await(() -> allNodes(node -> version(node) == version + 1));
+    }
+
+    @Test
+    void newNodeLearnsFromPeersDuringAnOutageAndADamagedSnapshotDoesNoHarm() throws Exception {
+        fleet.getPlatform().getPlatform().put("settings/snapshot", "{damaged".getBytes(StandardCharsets.UTF_8));
+        assertTrue(
+                new SettingsSnapshots(fleet.getPlatform().getPlatform()).read().isEmpty());
+        assertEquals(200, change(0, "c", "/teams/shop/accounts/acme/rate", "77").statusCode());
+        Node early = fleet.add("early", "zone-b", "history", 10);
+        FleetFixture.await(early::isReady);
+        fleet.getPlatform().setFaults(DOWN);
+        fleet.add("late", "zone-b", "history", 10);
+        URI entry = fleet.toEntry(NODES + 1);
+        FleetFixture.await(
+                () -> send(entry, "GET", "/history/1", "k1.wrong", "").statusCode() == 401);
+        assertEquals(2, version(NODES));
+        assertEquals(2, version(NODES + 1));
+        assertEquals(200, send(entry, "GET", "/open/1", "", "").statusCode());
+    }
+
+    private boolean allNodes(IntPredicate condition) {
+        for (int i = 0; i < NODES; i++) {
+            if (!condition.test(i)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private int call(int node) {
+        return send(fleet.toEntry(node), "GET", "/history/1", FleetFixture.KEY, "")
+                .statusCode();
+    }
+
+    private long version(int node) {
+        try {
+            String body = send(fleet.toAdmin(node), "GET", "/v1/status", "").body();
+            return ApiJson.MAPPER.readValue(body, StatusBody.class).settingsVersion();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private HttpResponse<String> change(int node, String id, String path, String value) {
+        return change(node, id, path, value, 1);
+    }
+
+    private HttpResponse<String> change(int node, String id, String path, String value, long base) {
+        try {
+            ChangeRequest request = new ChangeRequest(id, base, List.of(new EditBody(path, value)));
+            return send(fleet.toAdmin(node), "POST", "/v1/settings", ApiJson.MAPPER.writeValueAsString(request));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private static HttpResponse<String> send(URI target, String method, String path, String body) {
+        return send(target, method, path, FleetFixture.OWNER_TOKEN, body);
+    }
+
+    private static HttpResponse<String> send(URI target, String method, String path, String token, String body) {
+        HttpRequest request = HttpRequest.newBuilder(target.resolve(path))
+                .header("Authorization", "Bearer " + token)
+                .method(method, HttpRequest.BodyPublishers.ofString(body))
+                .build();
+        try {
+            return CLIENT.send(request, HttpResponse.BodyHandlers.ofString());
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException(e);
+        }
+    }
+}
