--- a/decision/src/test/java/io/cranberryarch/decision/key/WithdrawnKeysTest.java
+++ b/decision/src/test/java/io/cranberryarch/decision/key/WithdrawnKeysTest.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
 
 class WithdrawnKeysTest {
 
@@ -56,6 +57,20 @@
         assertEquals(List.of("other"), keys.findUnstored());
     }
 
+    @Test
+    void lateNodeLearnsAllByItsFirstRequest() {
+        WithdrawnKeys old = new WithdrawnKeys();
+        old.add(List.of("k1", "k2"));
+        for (int i = 0; i < 100; i++) {
+            old.toRequest();
+        }
+        assertEquals(List.of(), old.toRequest(), "still told to everybody");
+        WithdrawnKeys late = new WithdrawnKeys();
+        late.add(old.toAnswer(late.getDigest()));
+        assertEquals(old.getAll(), late.getAll());
+        assertEquals(List.of(), old.toAnswer(late.getDigest()));
+    }
+
     private static void exchange(WithdrawnKeys node, WithdrawnKeys peer, boolean isAnswerLost) {
         peer.add(node.toRequest());
         List<String> answer = peer.toAnswer(node.getDigest());
--- a/node/src/main/java/io/cranberryarch/node/http/AdminHandler.java
+++ b/node/src/main/java/io/cranberryarch/node/http/AdminHandler.java
@@ -2,9 +2,7 @@
 
 import static java.nio.charset.StandardCharsets.US_ASCII;
 
-import io.cranberryarch.api.ApiJson;
 import io.cranberryarch.api.ChangeBody;
-import io.cranberryarch.api.ChangeRequest;
 import io.cranberryarch.api.CountsBody;
 import io.cranberryarch.api.EditBody;
 import io.cranberryarch.api.ErrorBody;
@@ -28,7 +26,6 @@
 import io.cranberryarch.settings.OperatorGrant;
 import io.cranberryarch.settings.SettingChange;
 import io.cranberryarch.settings.SettingEdit;
-import io.cranberryarch.settings.SettingPath;
 import io.cranberryarch.settings.SettingsException;
 import java.io.IOException;
 import java.util.ArrayList;
@@ -41,6 +38,7 @@
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
 import org.eclipse.jetty.util.Fields;
+import org.tinylog.Logger;
 
 /** The administration interface for operators, and the metrics for scrapers. */
 public final class AdminHandler extends Handler.Abstract.NonBlocking {
@@ -129,6 +127,9 @@
             fail(response, callback, 400, "bad-request", String.valueOf(e.getMessage()));
         } catch (PlatformException e) {
             fail(response, callback, 503, "platform-unreachable", e.getMessage());
+        } catch (RuntimeException e) {
+            Logger.error(e, "admin-request-failed path={}", path);
+            fail(response, callback, 500, "internal-error", "the request failed; see the log of the node");
         }
     }
 
@@ -164,29 +165,15 @@
 
     private ChangeBody change(byte[] body, OperatorGrant operator)
             throws ApiException, SettingsException, PlatformException, IOException {
-        ChangeRequest request = ApiJson.MAPPER.readValue(body, ChangeRequest.class);
-        if (request.changeId() == null
-                || request.edits() == null
-                || request.edits().isEmpty()) {
-            throw new ApiException(400, "bad-request", List.of("changeId and edits are required"));
-        }
-        List<SettingEdit> edits = new ArrayList<>();
-        Optional<String> team = Optional.empty();
-        for (EditBody edit : request.edits()) {
-            SettingPath path = SettingPath.of(edit.path());
-            if (!operator.isAllowed(path)) {
-                throw new ApiException(403, "not-your-subtree", List.of(path + " belongs to another team"));
-            }
-            if (path.getTeam().isEmpty() || (team.isPresent() && !team.equals(path.getTeam()))) {
-                throw new ApiException(400, "bad-request", List.of("all paths must lie in one team's subtree"));
-            }
-            team = path.getTeam();
-            edits.add(new SettingEdit(path, Optional.ofNullable(edit.value())));
-        }
-        String subtree = "/teams/" + team.orElseThrow();
+        ChangeProposal change = ChangeProposal.parse(body, operator);
         try {
-            long version = settings.propose(request.changeId(), operator.name(), request.baseVersion(), subtree, edits);
-            return new ChangeBody(version, operator.name(), 0, request.edits());
+            long version = settings.propose(
+                    change.changeId(), operator.name(), change.baseVersion(), change.subtree(), change.edits());
+            List<EditBody> edits = new ArrayList<>();
+            change.edits()
+                    .forEach(edit -> edits.add(
+                            new EditBody(edit.path().toString(), edit.value().orElse(null))));
+            return new ChangeBody(version, operator.name(), 0, edits);
         } catch (SettingsConflictException e) {
             throw new ApiException(409, "conflict", List.of(e.getMessage()));
         }
--- a/node/src/test/java/io/cranberryarch/node/config/SettingsFleetTest.java
+++ b/node/src/test/java/io/cranberryarch/node/config/SettingsFleetTest.java
@@ -164,6 +164,30 @@
         assertEquals(200, send(entry, "GET", "/open/1", "", "").statusCode());
     }
 
+    @Test
+    void badBodiesAreRefusedWithWhatIsAllowed() throws Exception {
+        String edit = "{\"path\":\"/teams/shop/accounts/acme/rate\",\"value\":\"1\"}";
+        assertRefused("", "no change");
+        assertRefused("null", "no change");
+        assertRefused("{\"changeId\":\"a\",\"baseVersion\":\"x\",\"edits\":[" + edit + "]}", "no change");
+        assertRefused("{\"changeId\":\"a\",\"baseVersion\":1,\"extra\":1,\"edits\":[" + edit + "]}", "extra");
+        assertRefused("{\"changeId\":\"\",\"baseVersion\":1,\"edits\":[" + edit + "]}", "changeId");
+        assertRefused("{\"changeId\":\"a\",\"baseVersion\":-1,\"edits\":[" + edit + "]}", "baseVersion");
+        assertRefused("{\"changeId\":\"a\",\"baseVersion\":1,\"edits\":[]}", "edits");
+        assertRefused("{\"changeId\":\"a\",\"baseVersion\":1,\"edits\":[null]}", "path");
+        assertRefused("{\"changeId\":\"a\",\"baseVersion\":1,\"edits\":[{\"value\":\"1\"}]}", "path");
+        HttpResponse<String> large = change(0, "large", "/teams/shop/routes/order/kind", "x".repeat(1_001));
+        assertEquals(400, large.statusCode());
+        assertTrue(large.body().contains("1000 characters"), large.body());
+        assertEquals(1, version(0));
+    }
+
+    private void assertRefused(String body, String detail) {
+        HttpResponse<String> answer = send(fleet.toAdmin(0), "POST", "/v1/settings", body);
+        assertEquals(400, answer.statusCode(), answer.body());
+        assertTrue(answer.body().contains(detail), answer.body());
+    }
+
     private boolean allNodes(IntPredicate condition) {
         for (int i = 0; i < NODES; i++) {
             if (!condition.test(i)) {
