UpstreamClientTest: answers close their connection, accepts have a time limit

Cause: the test closed each connection after a whole answer without saying so; the client could write the next request on it before it saw the end, and the test waited for a connection for ever (seen in one run of the whole module on a busy machine, none of three runs before). Now each answer says that it closes the connection. What the test requires of the client is unchanged.

--- a/node/src/test/java/io/cranberryarch/node/call/UpstreamClientTest.java
+++ b/node/src/test/java/io/cranberryarch/node/call/UpstreamClientTest.java
@@ -25,7 +25,8 @@
 
 class UpstreamClientTest {
 
-    private static final String HEAD = "HTTP/1.1 200 OK\r\n";
+    private static final String HEAD = "HTTP/1.1 200 OK\r\nConnection: close\r\n";
+    private static final int ACCEPT_TIMEOUT_MS = 15_000;
 
     private final Closer closer = new Closer();
     private HttpClient http;
@@ -37,6 +38,7 @@
         closer.add(http::stop);
         http.start();
         upstream = closer.add(new ServerSocket(0, 5, InetAddress.getLoopbackAddress()));
+        upstream.setSoTimeout(ACCEPT_TIMEOUT_MS);
     }
 
     @AfterEach
@@ -48,7 +50,10 @@
     void wholeAnswersArePassedOn() throws Exception {
         assertEquals("whole", toText(answerWith(HEAD + "Content-Length: 5\r\n\r\nwhole")));
         assertEquals("whole", toText(answerWith(HEAD + "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n")));
-        assertEquals(204, answerWith("HTTP/1.1 204 No Content\r\n\r\n").status());
+        assertEquals(
+                204,
+                answerWith("HTTP/1.1 204 No Content\r\nConnection: close\r\n\r\n")
+                        .status());
     }
 
     @Test
