--- a/node/src/main/java/io/cranberryarch/node/GracefulStop.java
+++ b/node/src/main/java/io/cranberryarch/node/GracefulStop.java
@@ -36,7 +36,9 @@
         parts.faces().refuseNewRequests();
         parts.leases().releaseAll();
         parts.members().setState(MemberState.GONE);
-        parts.counts().flush();
+        if (!parts.counts().finish()) {
+            Logger.warn("counts-lost increments={}", parts.counts().getWaiting());
+        }
         parts.network().leave();
         await(() -> isIdle() && parts.network().isIdle(), FLUSH_TIMEOUT_MS);
         parts.network().shutdownOutput();
