--- a/decision/src/main/java/io/cranberryarch/decision/rate/TokenHolder.java
+++ b/decision/src/main/java/io/cranberryarch/decision/rate/TokenHolder.java
@@ -95,7 +95,7 @@
         if (isUseful(own, waiting, nowMs)) {
             requests.add(ask(own, needed, wanted, nowMs));
         }
-        if (own.isInFlight(nowMs) && !own.isFailing()) {
+        if (own.isAnswerLikely(nowMs) && !own.isSlow(nowMs)) {
             return requests;
         }
         int room = (waiting > 0 ? FAN_OUT : 1) - countInFlight(nowMs);
@@ -182,11 +182,11 @@
      * Checks whether waiting is of use.
      *
      * @param nowMs monotonic time in milliseconds
-     * @return whether a request is unanswered, or one can be sent
+     * @return whether an answer is likely to come, or a request can be sent
      */
     public boolean isWaitUseful(long nowMs) {
         for (TokenSource source : sources) {
-            if (source.isInFlight(nowMs) || source.isAskable(nowMs)) {
+            if (source.isAnswerLikely(nowMs) || source.isAskable(nowMs)) {
                 return true;
             }
         }
--- a/decision/src/main/java/io/cranberryarch/decision/rate/TokenSource.java
+++ b/decision/src/main/java/io/cranberryarch/decision/rate/TokenSource.java
@@ -8,7 +8,8 @@
 /** What a holder knows of the allocator of one zone, and the grants it holds from it. Not thread-safe. */
 final class TokenSource {
 
-    private static final long REQUEST_TIMEOUT_MS = 100;
+    private static final long SLOW_ANSWER_MS = 50;
+    private static final long REQUEST_TIMEOUT_MS = 400;
     private static final long FAILURE_BACKOFF_MS = 200;
     private static final int MAX_FAILURE_DOUBLINGS = 5;
     private static final long DRY_BACKOFF_MS = 5;
@@ -43,6 +44,16 @@
         return isInFlight;
     }
 
+    /** Checks whether an answer is awaited that may come soon. */
+    boolean isAnswerLikely(long nowMs) {
+        return isInFlight(nowMs) && !isFailing();
+    }
+
+    /** Checks whether an answer is awaited that should have come by now. */
+    boolean isSlow(long nowMs) {
+        return isInFlight(nowMs) && nowMs - sentAtMs >= SLOW_ANSWER_MS;
+    }
+
     boolean isAskable(long nowMs) {
         return !isInFlight(nowMs) && nowMs >= askAgainAtMs;
     }
