Nodes admit by priority, fair share and observed latency, and shed early

Cause: a gate admitted up to the slots that its upstream claims; nothing told callers' nodes, so work was done for requests refused further down. The node now uses decision.admission: threshold for each account on each answer, lowest of the chain passed up, calls refused before they are sent.

Ruled out: see docs/design/overload.md, "Tried and not kept".

--- a/context/src/main/java/io/cranberryarch/context/CallResult.java
+++ b/context/src/main/java/io/cranberryarch/context/CallResult.java
@@ -59,4 +59,18 @@
     public CallResult toUnknown() {
         return new CallResult(status, headers, body, refusal.map(Refusal::toUnknown), retryTokens, load);
     }
+
+    /**
+     * Copies this result with the lower one of two thresholds. A result without load stays as it is.
+     *
+     * @param threshold the admission level from which on calls are refused
+     * @return the copy, sharing the body
+     */
+    public CallResult withThreshold(int threshold) {
+        if (load.isEmpty() || load.get().threshold() <= threshold) {
+            return this;
+        }
+        LoadReport lower = new LoadReport(load.get().inFlight(), load.get().limit(), threshold);
+        return new CallResult(status, headers, body, refusal, retryTokens, Optional.of(lower));
+    }
 }
--- a/decision/src/main/java/io/cranberryarch/decision/admission/AdmissionControl.java
+++ b/decision/src/main/java/io/cranberryarch/decision/admission/AdmissionControl.java
@@ -24,6 +24,7 @@
 public final class AdmissionControl {
 
     private static final long MAX_WAIT_MS = 100;
+    private static final long MAX_NESTED_WAIT_MS = 400;
     private static final int WAITING_PER_LIMIT = 4;
     private static final int MAX_KINDS = 100;
     private static final double SMOOTHING = 0.1;
@@ -76,7 +77,7 @@
      */
     public void enter(WaitingCall call, long nowMs) {
         threshold.addArrival(call, nowMs);
-        if (call.level() >= threshold.toThreshold(call.account())) {
+        if (AdmissionLevel.isRefused(call.level(), threshold.toThreshold(call.account()), call.isNested())) {
             outcomes.add(new Outcome(call.id(), Verdict.OVERLOADED));
             return;
         }
@@ -94,7 +95,8 @@
                 return;
             }
         }
-        long expiresAtMs = Math.min(nowMs + MAX_WAIT_MS, call.deadlineMs() - (long) needMs);
+        long maxWaitMs = call.isNested() ? MAX_NESTED_WAIT_MS : MAX_WAIT_MS;
+        long expiresAtMs = Math.min(nowMs + maxWaitMs, call.deadlineMs() - (long) needMs);
         queue.add(new WaitingQueue.Entry(call, nowMs, Math.max(nowMs + 1, expiresAtMs)));
     }
 
@@ -122,6 +124,11 @@
         }
     }
 
+    /** Ends an admitted call that tells nothing about the upstream, because it was given up. */
+    public void abandon() {
+        held--;
+    }
+
     /** Notes that a running call waits for a nested call. */
     public void beginNested() {
         nested++;
@@ -167,6 +174,15 @@
         return queue.getSize() > 0;
     }
 
+    /**
+     * Checks whether some levels are refused.
+     *
+     * @return whether the threshold of any client account refuses calls
+     */
+    public boolean isShedding() {
+        return threshold.isShedding();
+    }
+
     /**
      * Gets the calls that run or wait.
      *
--- a/decision/src/main/java/io/cranberryarch/decision/admission/AdmissionLevel.java
+++ b/decision/src/main/java/io/cranberryarch/decision/admission/AdmissionLevel.java
@@ -21,6 +21,8 @@
     /** The number of levels, and the threshold that refuses none. */
     public static final int LEVELS = Priority.values().length * HASH_LEVELS;
 
+    private static final int NESTED_SLACK = 32;
+
     private AdmissionLevel() {}
 
     /**
@@ -34,4 +36,17 @@
         long hash = Hashing.komihash5_0().hashCharsToLong(requestId);
         return priority.ordinal() * HASH_LEVELS + (int) Math.floorMod(hash, (long) HASH_LEVELS);
     }
+
+    /**
+     * Checks a level against a threshold. Nested calls get some slack, so that a threshold that moves a little does not
+     * end requests which have already run in part; entries refuse new ones meanwhile.
+     *
+     * @param level the level of the request
+     * @param threshold the lowest level that is refused
+     * @param isNested whether another call of the same request is running already
+     * @return whether the call is refused
+     */
+    public static boolean isRefused(int level, int threshold, boolean isNested) {
+        return level >= threshold + (isNested ? NESTED_SLACK : 0);
+    }
 }
--- a/decision/src/main/java/io/cranberryarch/decision/admission/ShedThreshold.java
+++ b/decision/src/main/java/io/cranberryarch/decision/admission/ShedThreshold.java
@@ -130,6 +130,15 @@
         return lowestPriority * HASH_LEVELS + share;
     }
 
+    /**
+     * Checks whether some levels are refused.
+     *
+     * @return whether demand exceeds the capacity
+     */
+    public boolean isShedding() {
+        return lowestPriority < Priority.values().length;
+    }
+
     /**
      * Ends windows that are over.
      *
--- a/decision/src/main/java/io/cranberryarch/decision/admission/WaitingCall.java
+++ b/decision/src/main/java/io/cranberryarch/decision/admission/WaitingCall.java
@@ -11,7 +11,15 @@
  * @param kind the kind of the caller's request
  * @param weight the share of the client account relative to others, positive
  * @param level the admission level, see {@link AdmissionLevel}
+ * @param isNested whether another call of the same request is running already
  * @param deadlineMs the monotonic time at which the answer is of no use, in milliseconds
  */
 public record WaitingCall(
-        long id, Priority priority, String account, String kind, double weight, int level, long deadlineMs) {}
+        long id,
+        Priority priority,
+        String account,
+        String kind,
+        double weight,
+        int level,
+        boolean isNested,
+        long deadlineMs) {}
--- a/experiment/src/main/java/io/cranberryarch/experiment/CallGraph.java
+++ b/experiment/src/main/java/io/cranberryarch/experiment/CallGraph.java
@@ -55,7 +55,7 @@
             int attempts,
             Consumer<ModelAnswer> done) {
         int threshold = from.toThreshold(service.getName(), request);
-        if (request.level() >= threshold) {
+        if (AdmissionLevel.isRefused(request.level(), threshold, request.isNested())) {
             done.accept(new ModelAnswer(false, threshold));
             return;
         }
--- a/experiment/src/main/java/io/cranberryarch/experiment/Callers.java
+++ b/experiment/src/main/java/io/cranberryarch/experiment/Callers.java
@@ -57,7 +57,7 @@
 
     private void attempt(AccountSpec account, Priority priority, int attempts) {
         int level = CallGraph.toLevel(priority, simulation.random().nextLong());
-        ModelRequest request = new ModelRequest(account, priority, level);
+        ModelRequest request = new ModelRequest(account, priority, level, false);
         ModelNode entry = entries.get(simulation.random().nextInt(ENTRIES));
         long deadlineMicros = simulation.nowMicros() + TIMEOUT_MICROS;
         graph.callOnce(entry, request, deadlineMicros, answer -> {
--- a/experiment/src/main/java/io/cranberryarch/experiment/ControlledGate.java
+++ b/experiment/src/main/java/io/cranberryarch/experiment/ControlledGate.java
@@ -37,6 +37,7 @@
                         KIND,
                         request.account().weight(),
                         request.level(),
+                        request.isNested(),
                         deadlineMicros / MICROS_PER_MS),
                 simulation.nowMs());
         poll();
--- a/experiment/src/main/java/io/cranberryarch/experiment/ModelInstance.java
+++ b/experiment/src/main/java/io/cranberryarch/experiment/ModelInstance.java
@@ -87,7 +87,7 @@
             }
             long beginMicros = simulation.nowMicros();
             gate.beginNested();
-            graph.call(node, spec.children().get(child), request, deadlineMicros, result -> {
+            graph.call(node, spec.children().get(child), request.toNested(), deadlineMicros, result -> {
                 gate.endNested();
                 nestedMicros += simulation.nowMicros() - beginMicros;
                 lowest = Math.min(lowest, result.threshold());
--- a/experiment/src/main/java/io/cranberryarch/experiment/ModelRequest.java
+++ b/experiment/src/main/java/io/cranberryarch/experiment/ModelRequest.java
@@ -8,5 +8,11 @@
  * @param account the client account
  * @param priority the priority
  * @param level the admission level
+ * @param isNested whether another call of the same request is running already
  */
-record ModelRequest(AccountSpec account, Priority priority, int level) {}
+record ModelRequest(AccountSpec account, Priority priority, int level, boolean isNested) {
+
+    ModelRequest toNested() {
+        return new ModelRequest(account, priority, level, true);
+    }
+}
--- a/node/src/main/java/io/cranberryarch/node/NodeModule.java
+++ b/node/src/main/java/io/cranberryarch/node/NodeModule.java
@@ -27,6 +27,7 @@
 import io.cranberryarch.node.report.CountsReporter;
 import io.cranberryarch.platform.HttpPlatform;
 import io.cranberryarch.platform.SettingsLog;
+import io.cranberryarch.settings.ClientAccount;
 import io.cranberryarch.settings.NodeConfig;
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -38,6 +39,7 @@
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.ThreadFactory;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.ToDoubleFunction;
 import javax.inject.Named;
 import javax.inject.Singleton;
 import org.eclipse.jetty.client.HttpClient;
@@ -163,8 +165,16 @@
 
     @Provides
     @Singleton
-    Admission provideAdmission() {
-        return new Admission(config.slots());
+    Admission provideAdmission(
+            Clock clock,
+            @Named("timer") ScheduledThreadPoolExecutor timer,
+            SettingsService settings,
+            NodeMetrics metrics) {
+        ToDoubleFunction<String> weights = account -> settings.getFleet()
+                .getAccount(account)
+                .map(ClientAccount::weight)
+                .orElse(1.0);
+        return new Admission(config.slots(), clock, timer, weights, metrics);
     }
 
     @Provides
@@ -195,8 +205,9 @@
             PeerNetwork network,
             Gate gate,
             KeyService keys,
-            @Named("timer") ScheduledThreadPoolExecutor timer) {
-        return new CallService(clock, members, network, gate, keys, timer);
+            @Named("timer") ScheduledThreadPoolExecutor timer,
+            NodeMetrics metrics) {
+        return new CallService(clock, members, network, gate, keys, timer, metrics);
     }
 
     @Provides
--- a/node/src/main/java/io/cranberryarch/node/call/ActiveCall.java
+++ b/node/src/main/java/io/cranberryarch/node/call/ActiveCall.java
@@ -1,8 +1,12 @@
 package io.cranberryarch.node.call;
 
+import io.cranberryarch.context.CallResult;
+import io.cranberryarch.context.LoadReport;
 import io.cranberryarch.context.RequestContext;
+import io.cranberryarch.decision.admission.AdmissionLevel;
 import io.cranberryarch.decision.retry.RetryBudget;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Future;
@@ -16,9 +20,16 @@
     private final RetryBudget budget;
     private final AtomicLong nextNestedId = new AtomicLong();
     private final Map<Long, Future<?>> nested = new ConcurrentHashMap<>();
+    private final Admission admission;
     private volatile boolean cancelled;
+    private boolean isEnded;
+    private int waitingFor;
+    private long waitingSinceMs;
+    private long nestedMs;
+    private int threshold = AdmissionLevel.LEVELS;
 
-    ActiveCall(RequestContext context, long deadlineMs, int retryTokens) {
+    ActiveCall(RequestContext context, long deadlineMs, int retryTokens, Admission admission) {
+        this.admission = admission;
         this.context = context;
         this.deadlineMs = deadlineMs;
         this.budget = new RetryBudget(retryTokens);
@@ -66,10 +77,14 @@
      *
      * @param call the answer to the nested call
      */
-    public void addNested(CompletableFuture<?> call) {
+    public void addNested(CompletableFuture<CallResult> call) {
+        beginNested();
         long id = nextNestedId.getAndIncrement();
         nested.put(id, call);
-        call.whenComplete((result, failure) -> nested.remove(id));
+        call.whenComplete((result, failure) -> {
+            nested.remove(id);
+            endNested(Optional.ofNullable(result).flatMap(CallResult::load));
+        });
         if (cancelled) {
             call.cancel(false);
         }
@@ -82,6 +97,35 @@
         }
     }
 
+    /** Ends this call, and gets the time in which it waited for nested calls. */
+    synchronized long end() {
+        if (waitingFor > 0) {
+            nestedMs += admission.endNested() - waitingSinceMs;
+        }
+        isEnded = true;
+        return nestedMs;
+    }
+
+    /** Gets the lowest threshold of the nested calls. */
+    synchronized int getThreshold() {
+        return threshold;
+    }
+
+    private synchronized void beginNested() {
+        if (!isEnded && waitingFor == 0) {
+            waitingSinceMs = admission.beginNested();
+        }
+        waitingFor++;
+    }
+
+    private synchronized void endNested(Optional<LoadReport> load) {
+        threshold = Math.min(threshold, load.map(LoadReport::threshold).orElse(AdmissionLevel.LEVELS));
+        waitingFor--;
+        if (!isEnded && waitingFor == 0) {
+            nestedMs += admission.endNested() - waitingSinceMs;
+        }
+    }
+
     synchronized int getRetries() {
         return budget.getTokens();
     }
--- a/node/src/main/java/io/cranberryarch/node/call/CallService.java
+++ b/node/src/main/java/io/cranberryarch/node/call/CallService.java
@@ -15,6 +15,7 @@
 import io.cranberryarch.decision.retry.RetryRatio;
 import io.cranberryarch.decision.routing.InstanceChoice;
 import io.cranberryarch.node.member.MemberService;
+import io.cranberryarch.node.metrics.NodeMetrics;
 import io.cranberryarch.node.peer.PeerConnection;
 import io.cranberryarch.node.peer.PeerLostException;
 import io.cranberryarch.node.peer.PeerNetwork;
@@ -47,6 +48,8 @@
     private final KeyService keys;
     private final ScheduledExecutorService timer;
     private final Map<String, LoadReport> loads = new ConcurrentHashMap<>();
+    private final NodeMetrics metrics;
+    private final ServiceThresholds thresholds;
     private final Map<String, RetryRatio> ratios = new ConcurrentHashMap<>();
 
     /**
@@ -58,6 +61,7 @@
      * @param gate the gate of this node, used without a connection
      * @param keys finds the nodes of calls with idempotency keys
      * @param timer ends calls at their deadlines
+     * @param metrics counts calls that are refused before they are sent
      */
     public CallService(
             Clock clock,
@@ -65,13 +69,16 @@
             PeerNetwork network,
             Gate gate,
             KeyService keys,
-            ScheduledExecutorService timer) {
+            ScheduledExecutorService timer,
+            NodeMetrics metrics) {
         this.clock = clock;
         this.members = members;
         this.network = network;
         this.gate = gate;
         this.keys = keys;
         this.timer = timer;
+        this.metrics = metrics;
+        this.thresholds = new ServiceThresholds(clock);
     }
 
     /**
@@ -87,6 +94,10 @@
         if (forged.isPresent()) {
             return CompletableFuture.completedFuture(refuse(forged.get(), call.retryTokens()));
         }
+        int threshold = thresholds.toThreshold(call);
+        if (ServiceThresholds.isRefused(call, threshold)) {
+            return CompletableFuture.completedFuture(shed(call, threshold));
+        }
         synchronized (ratio) {
             ratio.addFirstAttempt();
         }
@@ -158,6 +169,15 @@
         return CallResult.ofRefusal(refusal, retryTokens, Optional.empty());
     }
 
+    private CallResult shed(CallRequest call, int threshold) {
+        String priority = call.context().priority().toText();
+        metrics.getRegistry()
+                .counter("shed_before_send{service=\"" + call.service() + "\",priority=\"" + priority + "\"}")
+                .inc();
+        Refusal refusal = Refusal.ofNotRun(RefusalReason.OVERLOADED, RETRY_AFTER_MS);
+        return CallResult.ofRefusal(refusal, call.retryTokens(), Optional.of(new LoadReport(0, 1, threshold)));
+    }
+
     private static Refusal toNoUpstream() {
         return Refusal.ofNotRun(RefusalReason.NO_UPSTREAM, RETRY_AFTER_MS);
     }
@@ -257,7 +277,10 @@
                 return;
             }
             mayHaveRun |= answer.refusal().isPresent() && answer.toExecution() != Execution.NOT_RUN;
-            answer.load().ifPresent(load -> loads.put(member.instance(), load));
+            answer.load().ifPresent(load -> {
+                loads.put(member.instance(), load);
+                thresholds.report(call, load.threshold());
+            });
             budget.giveBack(answer.retryTokens());
             boolean isAgain = answer.refusal().isPresent()
                     && isAgainAllowed(answer)
--- a/node/src/main/java/io/cranberryarch/node/call/Gate.java
+++ b/node/src/main/java/io/cranberryarch/node/call/Gate.java
@@ -83,7 +83,7 @@
         });
         toAnswer(call, cancellation).whenComplete((result, failure) -> {
             try {
-                complete(answer, result, failure);
+                complete(answer, failure == null ? admission.withThreshold(call.context(), result) : null, failure);
             } finally {
                 inProgress.decrementAndGet();
             }
@@ -163,11 +163,12 @@
                     cancellation.isCancelled() ? RefusalReason.CANCELLED : RefusalReason.DEADLINE_EXCEEDED;
             CallResult result = CallResult.ofRefusal(
                     Refusal.ofNotRun(reason, RETRY_AFTER_MS), call.retryTokens(), Optional.empty());
-            admission.exit(call, result, 0);
+            admission.exit(call, result, 0, 0);
             return CompletableFuture.completedFuture(withLoad(result, call.retryTokens()));
         }
         long startedAtMs = clock.monotonicMs();
-        ActiveCall active = new ActiveCall(call.context(), startedAtMs + call.timeoutMs(), call.retryTokens());
+        ActiveCall active =
+                new ActiveCall(call.context(), startedAtMs + call.timeoutMs(), call.retryTokens(), admission);
         long id = activeCalls.add(active);
         CompletableFuture<CallResult> exchange = upstream.send(call, activeCalls.toToken(id));
         cancellation.onCancel(() -> {
@@ -177,8 +178,8 @@
         return exchange.handle((answer, failure) -> {
             activeCalls.remove(id);
             CallResult result = failure == null ? answer : toFailed(exchange.isCancelled());
-            admission.exit(call, result, clock.monotonicMs() - startedAtMs);
-            return withLoad(result, active.getRetries());
+            admission.exit(call, result, clock.monotonicMs() - startedAtMs, active.end());
+            return withLoad(result, active.getRetries()).withThreshold(active.getThreshold());
         });
     }
 
@@ -215,12 +216,15 @@
     }
 
     private CallResult withLoad(CallResult result, int retryTokens) {
-        return new CallResult(
+        CallResult current = new CallResult(
                 result.status(),
                 result.headers(),
                 result.body(),
                 result.refusal(),
                 retryTokens,
                 Optional.of(getLoad()));
+        return result.load()
+                .map(load -> current.withThreshold(load.threshold()))
+                .orElse(current);
     }
 }
