--- a/experiment/src/test/java/io/cranberryarch/experiment/ExperimentTest.java
+++ b/experiment/src/test/java/io/cranberryarch/experiment/ExperimentTest.java
@@ -68,9 +68,15 @@
         });
     }
 
-    /** Less important requests fail more often, by more than a few in a hundred where they differ. */
+    /** Less important requests fail more often, and those that fit well together with more important ones do not. */
     private static void assertOrder(double load, Outcomes outcomes) {
         Priority[] priorities = Priority.values();
+        double[] demandUpTo = {0.1, 0.3, 0.7, 1};
+        for (int i = 0; i < priorities.length; i++) {
+            double failed = outcomes.toShedShare(priorities[i]);
+            boolean isFitting = load * demandUpTo[i] <= 0.8;
+            assertTrue(!isFitting || failed <= 0.05, "load " + load + " " + priorities[i] + " failed " + failed);
+        }
         for (int i = 1; i < priorities.length; i++) {
             double higher = outcomes.toShedShare(priorities[i - 1]);
             double lower = outcomes.toShedShare(priorities[i]);
--- a/node/src/main/java/io/cranberryarch/node/call/CallService.java
+++ b/node/src/main/java/io/cranberryarch/node/call/CallService.java
@@ -259,7 +259,10 @@
             return isLost;
         }
 
-        private boolean trySpend() {
+        private boolean trySpend(Refusal refusal) {
+            if (RetryDecision.isRedirect(refusal)) {
+                return budget.trySpend();
+            }
             synchronized (ratio) {
                 return budget.getTokens() > 0 && ratio.trySpend() && budget.trySpend();
             }
@@ -285,7 +288,7 @@
             boolean isAgain = answer.refusal().isPresent()
                     && isAgainAllowed(answer)
                     && deadlineMs > clock.monotonicMs()
-                    && trySpend();
+                    && trySpend(answer.refusal().get());
             if (isAgain) {
                 next();
                 return;
