bin/bench: decisions, latency added by nodes, cost of control, memory, counts of the report

One command, parts can be named; figures go to docs/measurements/ and bounds are those of the size to design for. Added latency is the median over rounds of the difference to the direct call in the same round, from the moment at which a request was due.

--- /dev/null
+++ b/bench/src/main/java/io/cranberryarch/bench/BenchMain.java
@@ -0,0 +1,88 @@
+package io.cranberryarch.bench;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Runs the benchmarks, prints and writes the figures, and with {@code --check} fails on a bound that is passed. */
+public final class BenchMain {
+
+    private BenchMain() {}
+
+    /**
+     * Runs the benchmarks.
+     *
+     * @param arguments the directory for the figures, {@code --check}, and names of parts; all parts if none is named
+     * @throws Exception if a part fails
+     */
+    public static void main(String[] arguments) throws Exception {
+        System.setProperty("tinylog.writer.level", "error");
+        Path directory = Path.of(arguments[0]);
+        List<String> rest = List.of(arguments).subList(1, arguments.length);
+        boolean isCheck = rest.contains("--check");
+        List<Measurement> passed = new ArrayList<>();
+        for (Part part : Part.values()) {
+            if (rest.size() > (isCheck ? 1 : 0) && !rest.contains(part.toText())) {
+                continue;
+            }
+            List<String> lines = new ArrayList<>(List.of("name,unit,value,bound"));
+            for (Measurement measurement : part.run()) {
+                lines.add(measurement.toCsv());
+                System.out.println(measurement.toCsv() + (measurement.isPassed() ? "  PASSED" : ""));
+                if (measurement.isPassed()) {
+                    passed.add(measurement);
+                }
+            }
+            Files.write(directory.resolve(part.toText() + ".csv"), lines);
+        }
+        System.out.println(passed.size() + " bounds passed");
+        System.exit(isCheck && !passed.isEmpty() ? 1 : 0);
+    }
+
+    /** The parts of the benchmarks, in their order. */
+    private enum Part {
+        DECISIONS("decisions") {
+            @Override
+            List<Measurement> run() throws Exception {
+                return DecisionRun.run();
+            }
+        },
+        LATENCY("latency") {
+            @Override
+            List<Measurement> run() throws Exception {
+                return LatencyRun.run();
+            }
+        },
+        FLEET("fleet") {
+            @Override
+            List<Measurement> run() throws Exception {
+                return FleetRun.run();
+            }
+        },
+        MEMORY("memory") {
+            @Override
+            List<Measurement> run() throws Exception {
+                return FootprintRun.run();
+            }
+        },
+        REPORT("report") {
+            @Override
+            List<Measurement> run() throws Exception {
+                return ReportRun.run();
+            }
+        };
+
+        private final String text;
+
+        Part(String text) {
+            this.text = text;
+        }
+
+        abstract List<Measurement> run() throws Exception;
+
+        String toText() {
+            return text;
+        }
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/io/cranberryarch/bench/CountingPlatform.java
@@ -0,0 +1,79 @@
+package io.cranberryarch.bench;
+
+import io.cranberryarch.platform.ObjectStore;
+import io.cranberryarch.platform.Row;
+import io.cranberryarch.platform.TableStore;
+import io.cranberryarch.platform.Transaction;
+import io.cranberryarch.standin.MemoryPlatform;
+import java.util.List;
+import java.util.Optional;
+
+/** The platform's stores in memory, which count reads and writes. Not thread-safe. */
+final class CountingPlatform implements ObjectStore, TableStore {
+
+    private final MemoryPlatform platform;
+    private long reads;
+    private long writes;
+    private long writtenBytes;
+
+    CountingPlatform(MemoryPlatform platform) {
+        this.platform = platform;
+    }
+
+    long takeReads() {
+        long taken = reads;
+        reads = 0;
+        return taken;
+    }
+
+    long getWrites() {
+        return writes;
+    }
+
+    long getWrittenBytes() {
+        return writtenBytes;
+    }
+
+    @Override
+    public void put(String name, byte[] content) {
+        writes++;
+        writtenBytes += content.length;
+        platform.put(name, content);
+    }
+
+    @Override
+    public void delete(String name) {
+        writes++;
+        platform.delete(name);
+    }
+
+    @Override
+    public Optional<byte[]> getObject(String name) {
+        reads++;
+        return platform.getObject(name);
+    }
+
+    @Override
+    public List<String> listObjects(String prefix) {
+        reads++;
+        return platform.listObjects(prefix);
+    }
+
+    @Override
+    public Optional<Row> get(String key) {
+        reads++;
+        return platform.get(key);
+    }
+
+    @Override
+    public List<Row> list(String prefix, String after, int limit) {
+        reads++;
+        return platform.list(prefix, after, limit);
+    }
+
+    @Override
+    public boolean commit(Transaction transaction) {
+        writes++;
+        return platform.commit(transaction);
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/io/cranberryarch/bench/DecisionRun.java
@@ -0,0 +1,45 @@
+package io.cranberryarch.bench;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.openjdk.jmh.profile.GCProfiler;
+import org.openjdk.jmh.results.Result;
+import org.openjdk.jmh.results.RunResult;
+import org.openjdk.jmh.runner.Runner;
+import org.openjdk.jmh.runner.RunnerException;
+import org.openjdk.jmh.runner.options.Options;
+import org.openjdk.jmh.runner.options.OptionsBuilder;
+import org.openjdk.jmh.runner.options.TimeValue;
+
+/** Runs the benchmarks of decisions with the time and the bytes allocated of each. */
+final class DecisionRun {
+
+    private static final String ALLOCATED = "gc.alloc.rate.norm";
+    private static final int ITERATIONS = 3;
+
+    private DecisionRun() {}
+
+    static List<Measurement> run() throws RunnerException {
+        Options options = new OptionsBuilder()
+                .include(DecisionBenchmark.class.getName())
+                .addProfiler(GCProfiler.class)
+                .forks(1)
+                .warmupIterations(ITERATIONS)
+                .warmupTime(TimeValue.seconds(1))
+                .measurementIterations(ITERATIONS)
+                .measurementTime(TimeValue.seconds(1))
+                .build();
+        List<Measurement> measurements = new ArrayList<>();
+        for (RunResult run : new Runner(options).run()) {
+            Result<?> time = run.getPrimaryResult();
+            String name = "decision-" + time.getLabel();
+            measurements.add(Measurement.of(name + "-time", "ns", time.getScore()));
+            Result<?> allocated = run.getSecondaryResults().get(ALLOCATED);
+            if (allocated == null) {
+                allocated = run.getSecondaryResults().get("\u00b7" + ALLOCATED);
+            }
+            measurements.add(Measurement.of(name + "-allocated", "bytes", allocated.getScore()));
+        }
+        return measurements;
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/io/cranberryarch/bench/FootprintProbe.java
@@ -0,0 +1,71 @@
+package io.cranberryarch.bench;
+
+import io.cranberryarch.node.Node;
+import io.cranberryarch.settings.NodeConfigReader;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.lang.management.BufferPoolMXBean;
+import java.lang.management.ManagementFactory;
+import java.lang.management.MemoryPoolMXBean;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+/** A process with one node and nothing else, which prints its memory whenever it reads a line. */
+public final class FootprintProbe {
+
+    private static final int COLLECTIONS = 3;
+
+    private FootprintProbe() {}
+
+    /**
+     * Runs the node until the input ends.
+     *
+     * @param arguments the INI file of the node
+     * @throws Exception if the node cannot start
+     */
+    public static void main(String[] arguments) throws Exception {
+        System.setProperty("tinylog.writer.level", "warn");
+        Node node = Node.start(NodeConfigReader.read(Path.of(arguments[0])));
+        System.out.println(node.getLocalPort() + " " + node.getEntryPort());
+        BufferedReader in = new BufferedReader(new InputStreamReader(System.in, StandardCharsets.UTF_8));
+        while (in.readLine() != null) {
+            System.out.println(describe());
+        }
+        node.kill();
+        System.exit(0);
+    }
+
+    private static String describe() throws IOException {
+        for (int i = 0; i < COLLECTIONS; i++) {
+            System.gc();
+        }
+        long metaspace = 0;
+        long code = 0;
+        for (MemoryPoolMXBean pool : ManagementFactory.getMemoryPoolMXBeans()) {
+            long used = pool.getUsage().getUsed();
+            if (pool.getName().startsWith("CodeHeap") || pool.getName().equals("CodeCache")) {
+                code += used;
+            } else if (pool.getName().equals("Metaspace")) {
+                metaspace += used;
+            }
+        }
+        long direct = 0;
+        for (BufferPoolMXBean pool : ManagementFactory.getPlatformMXBeans(BufferPoolMXBean.class)) {
+            direct += pool.getMemoryUsed();
+        }
+        long heap = ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed();
+        int threads = ManagementFactory.getThreadMXBean().getThreadCount();
+        return heap + " " + metaspace + " " + code + " " + direct + " " + readResidentBytes() + " " + threads;
+    }
+
+    private static long readResidentBytes() throws IOException {
+        for (String line : Files.readAllLines(Path.of("/proc/self/status"))) {
+            if (line.startsWith("VmRSS:")) {
+                return Long.parseLong(line.replaceAll("[^0-9]", "")) * 1_024;
+            }
+        }
+        return 0;
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/io/cranberryarch/bench/Slope.java
@@ -0,0 +1,26 @@
+package io.cranberryarch.bench;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** A straight line through measured points, by least squares. */
+final class Slope {
+
+    private final List<double[]> points = new ArrayList<>();
+
+    void add(double x, double y) {
+        points.add(new double[] {x, y});
+    }
+
+    double extrapolate(double x) {
+        double meanX = points.stream().mapToDouble(point -> point[0]).average().orElse(0);
+        double meanY = points.stream().mapToDouble(point -> point[1]).average().orElse(0);
+        double covariance = 0;
+        double variance = 0;
+        for (double[] point : points) {
+            covariance += (point[0] - meanX) * (point[1] - meanY);
+            variance += (point[0] - meanX) * (point[0] - meanX);
+        }
+        return variance == 0 ? meanY : meanY + covariance / variance * (x - meanX);
+    }
+}
--- /dev/null
+++ b/bench/src/test/java/io/cranberryarch/bench/CountsTest.java
@@ -0,0 +1,61 @@
+package io.cranberryarch.bench;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.cranberryarch.api.CountsBody;
+import io.cranberryarch.api.Outcome;
+import io.cranberryarch.base.ManualClock;
+import io.cranberryarch.node.NodeIdentity;
+import io.cranberryarch.node.report.CountsReporter;
+import io.cranberryarch.node.report.CountsStore;
+import io.cranberryarch.standin.MemoryPlatform;
+import io.cranberryarch.wire.CallMessage;
+import io.cranberryarch.wire.Frame;
+import io.cranberryarch.wire.FrameCodec;
+import java.io.IOException;
+import org.junit.jupiter.api.Test;
+
+/** Counts of messages, bytes, reads and writes that are the same on every run, against their bounds. */
+class CountsTest {
+
+    private static final int FLEET_NODES = 2_100;
+    private static final int MAX_FLEET_WRITES_PER_SECOND = 300;
+    private static final int MAX_NODE_BYTES_PER_SECOND = 3_000;
+    private static final int HOUR_S = 3_600;
+    private static final int FLUSH_S = 10;
+
+    @Test
+    void aCallAddsFewBytesToItsBody() throws IOException {
+        int bytes = FrameCodec.encode(new Frame(1, new CallMessage(DecisionBenchmark.toCall())))
+                .remaining();
+        assertTrue(bytes - DecisionBenchmark.toCall().body().length <= 128, () -> bytes + " bytes");
+    }
+
+    @Test
+    void countingStaysWithinTheBoundsOfTheStoreAndReadsBackAnHourInFewReads() throws Exception {
+        ManualClock clock = new ManualClock(1_796_342_400_000L);
+        CountingPlatform platform = new CountingPlatform(new MemoryPlatform());
+        CountsStore store = new CountsStore(platform, platform, clock);
+        NodeIdentity identity = new NodeIdentity("instance", clock.wallMs(), "zone-a", "orders");
+        CountsReporter reporter = new CountsReporter(identity, platform, store, clock);
+        for (int second = 0; second < HOUR_S; second += FLUSH_S) {
+            for (int account = 0; account < 50; account++) {
+                reporter.record("account" + account, "order", Outcome.OK);
+            }
+            reporter.flush();
+            clock.advance(FLUSH_S * 1_000);
+        }
+        assertTrue(platform.getWrites() * FLEET_NODES / HOUR_S <= MAX_FLEET_WRITES_PER_SECOND);
+        assertTrue(platform.getWrittenBytes() / HOUR_S <= MAX_NODE_BYTES_PER_SECOND);
+        clock.advance(900_000);
+        reporter.flush();
+        store.compactRecent();
+        platform.takeReads();
+        CountsBody body = store.readDay("2026-12-04");
+        assertEquals(
+                50L * HOUR_S / FLUSH_S,
+                body.totals().stream().mapToLong(CountsBody.Row::count).sum());
+        assertTrue(platform.takeReads() <= 24 * 3 + 3);
+    }
+}
