--- a/node/src/main/java/io/cranberryarch/node/NodeComponent.java
+++ b/node/src/main/java/io/cranberryarch/node/NodeComponent.java
@@ -3,11 +3,14 @@
 import dagger.Component;
 import io.cranberryarch.node.call.CallService;
 import io.cranberryarch.node.call.Gate;
+import io.cranberryarch.node.call.KeyService;
 import io.cranberryarch.node.config.SettingsService;
 import io.cranberryarch.node.http.HttpFaces;
 import io.cranberryarch.node.lease.LeaseService;
 import io.cranberryarch.node.member.MemberService;
 import io.cranberryarch.node.peer.PeerNetwork;
+import io.cranberryarch.node.rate.RateService;
+import io.cranberryarch.node.rate.TokenRouter;
 import io.cranberryarch.node.report.CountsReporter;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import javax.inject.Named;
@@ -26,8 +29,14 @@
 
     Gate gate();
 
+    KeyService keys();
+
     LeaseService leases();
 
+    RateService rates();
+
+    TokenRouter tokens();
+
     MemberService members();
 
     PeerNetwork network();
--- a/node/src/main/java/io/cranberryarch/node/NodeModule.java
+++ b/node/src/main/java/io/cranberryarch/node/NodeModule.java
@@ -10,7 +10,7 @@
 import io.cranberryarch.node.call.Admission;
 import io.cranberryarch.node.call.CallService;
 import io.cranberryarch.node.call.Gate;
-import io.cranberryarch.node.call.RateService;
+import io.cranberryarch.node.call.KeyService;
 import io.cranberryarch.node.call.UpstreamClient;
 import io.cranberryarch.node.config.SettingsService;
 import io.cranberryarch.node.http.AdminHandler;
@@ -21,6 +21,9 @@
 import io.cranberryarch.node.member.MemberService;
 import io.cranberryarch.node.metrics.NodeMetrics;
 import io.cranberryarch.node.peer.PeerNetwork;
+import io.cranberryarch.node.rate.RateAllocators;
+import io.cranberryarch.node.rate.RateService;
+import io.cranberryarch.node.rate.TokenRouter;
 import io.cranberryarch.node.report.CountsReporter;
 import io.cranberryarch.node.report.CountsStore;
 import io.cranberryarch.platform.HttpPlatform;
@@ -30,6 +33,8 @@
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.nio.channels.AsynchronousChannelGroup;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.ThreadFactory;
@@ -163,12 +168,24 @@
         return new Admission(config.slots());
     }
 
+    @Provides
+    @Singleton
+    KeyService provideKeys(NodeIdentity identity, Clock clock, MemberService members, LeaseService leases) {
+        return new KeyService(identity, config.fleetSecret(), clock, members, leases);
+    }
+
     @Provides
     @Singleton
     Gate provideGate(
-            Clock clock, MemberService members, HttpClient client, ActiveCalls activeCalls, Admission admission) {
+            Clock clock,
+            MemberService members,
+            HttpClient client,
+            ActiveCalls activeCalls,
+            Admission admission,
+            KeyService keys,
+            NodeMetrics metrics) {
         UpstreamClient upstream = new UpstreamClient(client, config.upstream(), config.maxBodyBytes());
-        return new Gate(clock, members, upstream, activeCalls, admission);
+        return new Gate(clock, members, upstream, activeCalls, admission, keys, metrics);
     }
 
     @Provides
@@ -178,14 +195,31 @@
             MemberService members,
             PeerNetwork network,
             Gate gate,
+            KeyService keys,
             @Named("timer") ScheduledThreadPoolExecutor timer) {
-        return new CallService(clock, members, network, gate, timer);
+        return new CallService(clock, members, network, gate, keys, timer);
+    }
+
+    @Provides
+    @Singleton
+    RateAllocators provideRateAllocators(
+            Clock clock, SettingsService settings, MemberService members, LeaseService leases) {
+        return new RateAllocators(clock, settings, members, leases, config.zones());
+    }
+
+    @Provides
+    @Singleton
+    TokenRouter provideTokenRouter(MemberService members, PeerNetwork network, RateAllocators allocators) {
+        return new TokenRouter(members, network, allocators);
     }
 
     @Provides
     @Singleton
-    RateService provideRates(Clock clock) {
-        return new RateService(clock);
+    RateService provideRates(Clock clock, RateAllocators allocators, TokenRouter router, NodeMetrics metrics) {
+        List<String> zones = new ArrayList<>(config.zones());
+        zones.remove(config.zone());
+        zones.add(0, config.zone());
+        return new RateService(clock, allocators, router, zones, metrics.getRegistry());
     }
 
     @Provides
@@ -212,9 +246,10 @@
             SettingsService settings,
             RateService rates,
             CallService calls,
+            KeyService keys,
             NodeMetrics metrics,
             CountsReporter counts) {
-        return new EntryHandler(settings, rates, calls, metrics, counts, config.maxBodyBytes());
+        return new EntryHandler(settings, rates, calls, keys, metrics, counts, config.maxBodyBytes());
     }
 
     @Provides
--- a/node/src/main/java/io/cranberryarch/node/report/Outcomes.java
+++ b/node/src/main/java/io/cranberryarch/node/report/Outcomes.java
@@ -27,7 +27,7 @@
 
     private static Outcome of(Refusal refusal) {
         return switch (refusal.reason()) {
-            case BAD_REQUEST, BODY_INCOMPLETE, BODY_TOO_LARGE, IDEMPOTENCY_RUNNING, KEY_REJECTED, NO_ROUTE ->
+            case BAD_REQUEST, BODY_INCOMPLETE, BODY_TOO_LARGE, IDEMPOTENCY_MISMATCH, KEY_REJECTED, NO_ROUTE ->
                 Outcome.CLIENT_ERROR;
             case RATE_EXCEEDED -> Outcome.OVER_RATE;
             case OVERLOADED -> refusal.execution() == Execution.NOT_RUN ? Outcome.SHED : Outcome.UNKNOWN;
--- a/node/src/test/resources/features/promises.feature
+++ b/node/src/test/resources/features/promises.feature
@@ -41,6 +41,10 @@
     Then the accepted burst is soon in force at each instance
     And the change is in the log once
 
+  Scenario: A non-idempotent request runs at most once
+    When a caller sends the order "order-17" 5 times at each instance
+    Then the order "order-17" ran once
+
   Scenario: An upstream that is leaving gets no new work
     When the upstream of instance "orders1" announces that it is leaving
     Then soon every request for "/orders/1" at each instance is answered by "orders2"
