Frames are encoded and decoded with small buffers

Cause: each frame allocated the codec's default buffers of 8 KB, once to encode and twice to decode. Change: buffers of 512 bytes; larger fields are read and written past them. Ruled out as cause: the copy of the body (256 bytes) and the list of headers (empty here).

--- a/wire/src/main/java/io/cranberryarch/wire/FrameCodec.java
+++ b/wire/src/main/java/io/cranberryarch/wire/FrameCodec.java
@@ -27,6 +27,12 @@
     /** The version of the protocol. */
     public static final int VERSION = 1;
 
+    private static final int BUFFER_BYTES = 512;
+    private static final MessagePack.PackerConfig PACKER =
+            new MessagePack.PackerConfig().withBufferSize(BUFFER_BYTES).withBufferFlushThreshold(BUFFER_BYTES);
+    private static final MessagePack.UnpackerConfig UNPACKER =
+            new MessagePack.UnpackerConfig().withBufferSize(BUFFER_BYTES).withStringDecoderBufferSize(BUFFER_BYTES);
+
     private FrameCodec() {}
 
     /**
@@ -37,7 +43,7 @@
      * @throws IOException if the frame is larger than {@link #MAX_FRAME_BYTES}
      */
     public static ByteBuffer encode(Frame frame) throws IOException {
-        try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+        try (MessageBufferPacker packer = PACKER.newBufferPacker()) {
             packer.packInt(frame.message().getType().getCode());
             packer.packLong(frame.id());
             frame.message().write(packer);
@@ -75,7 +81,7 @@
     }
 
     private static Frame decodePayload(ByteBuffer payload) throws MalformedFrameException {
-        try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(payload)) {
+        try (MessageUnpacker unpacker = UNPACKER.newUnpacker(payload)) {
             int code = unpacker.unpackInt();
             long id = unpacker.unpackLong();
             Optional<MessageType> type = MessageType.of(code);
