A node writes at most two increments a flush, so that a fleet catches up within the bounds of the store

Cause: after an hour of outage each node wrote all its increments in one flush: CountsTest measured 2,940 writes/s for 2,100 nodes. Now 420 at most.

--- a/bench/src/main/java/io/cranberryarch/bench/CountingPlatform.java
+++ b/bench/src/main/java/io/cranberryarch/bench/CountingPlatform.java
@@ -1,6 +1,7 @@
 package io.cranberryarch.bench;
 
 import io.cranberryarch.platform.ObjectStore;
+import io.cranberryarch.platform.PlatformException;
 import io.cranberryarch.platform.Row;
 import io.cranberryarch.platform.TableStore;
 import io.cranberryarch.platform.Transaction;
@@ -15,6 +16,7 @@
     private long reads;
     private long writes;
     private long writtenBytes;
+    private boolean isDown;
 
     CountingPlatform(MemoryPlatform platform) {
         this.platform = platform;
@@ -26,6 +28,10 @@
         return taken;
     }
 
+    void setDown(boolean newDown) {
+        isDown = newDown;
+    }
+
     long getWrites() {
         return writes;
     }
@@ -35,7 +41,10 @@
     }
 
     @Override
-    public void put(String name, byte[] content) {
+    public void put(String name, byte[] content) throws PlatformException {
+        if (isDown) {
+            throw new PlatformException("the store is down");
+        }
         writes++;
         writtenBytes += content.length;
         platform.put(name, content);
--- a/bench/src/test/java/io/cranberryarch/bench/CountsTest.java
+++ b/bench/src/test/java/io/cranberryarch/bench/CountsTest.java
@@ -1,6 +1,7 @@
 package io.cranberryarch.bench;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.cranberryarch.api.CountsBody;
@@ -21,6 +22,7 @@
 
     private static final int FLEET_NODES = 2_100;
     private static final int MAX_FLEET_WRITES_PER_SECOND = 300;
+    private static final int MAX_CATCH_UP_WRITES_PER_SECOND = 500;
     private static final int MAX_NODE_BYTES_PER_SECOND = 3_000;
     private static final int HOUR_S = 3_600;
     private static final int FLUSH_S = 10;
@@ -58,4 +60,29 @@
                 body.totals().stream().mapToLong(CountsBody.Row::count).sum());
         assertTrue(platform.takeReads() <= 24 * 3 + 3);
     }
+
+    @Test
+    void afterAnOutageANodeCatchesUpWithinTheBoundsOfTheStore() {
+        ManualClock clock = new ManualClock(1_796_342_400_000L);
+        CountingPlatform platform = new CountingPlatform(new MemoryPlatform());
+        CountsStore store = new CountsStore(platform, platform, clock);
+        NodeIdentity identity = new NodeIdentity("instance", clock.wallMs(), "zone-a", "orders");
+        CountsReporter reporter = new CountsReporter(identity, platform, store, clock);
+        platform.setDown(true);
+        for (int second = 0; second < HOUR_S; second += FLUSH_S) {
+            reporter.record("acme", "order", Outcome.OK);
+            assertFalse(reporter.flush());
+            clock.advance(FLUSH_S * 1_000);
+        }
+        platform.setDown(false);
+        int flushes = 0;
+        for (boolean isWritten = false; !isWritten; flushes++) {
+            long before = platform.getWrites();
+            isWritten = reporter.flush();
+            long fleetWritesPerSecond = (platform.getWrites() - before) * FLEET_NODES / FLUSH_S;
+            assertTrue(
+                    fleetWritesPerSecond <= MAX_CATCH_UP_WRITES_PER_SECOND, () -> fleetWritesPerSecond + " writes/s");
+        }
+        assertTrue(flushes > 1 && reporter.getWaiting() <= 1);
+    }
 }
--- a/node/src/main/java/io/cranberryarch/node/report/CountsReporter.java
+++ b/node/src/main/java/io/cranberryarch/node/report/CountsReporter.java
@@ -21,6 +21,7 @@
 public final class CountsReporter {
 
     private static final long FLUSH_INTERVAL_MS = 10_000;
+    private static final int MAX_WRITES_A_FLUSH = 2;
     private static final int SHARDS = 16;
     private static final int FINISH_ATTEMPTS = 3;
 
@@ -84,7 +85,7 @@
     public boolean flush() {
         synchronized (flushLock) {
             collect();
-            return write();
+            return write(MAX_WRITES_A_FLUSH);
         }
     }
 
@@ -98,7 +99,7 @@
             collect();
             queue.finish(clock.wallMs());
             for (int attempt = 0; attempt < FINISH_ATTEMPTS; attempt++) {
-                if (write()) {
+                if (write(Integer.MAX_VALUE)) {
                     return true;
                 }
             }
@@ -125,14 +126,14 @@
         queue.add(drained, clock.wallMs());
     }
 
-    private boolean write() {
+    private boolean write(int maxWrites) {
         try {
-            queue.write(store);
+            boolean isWritten = queue.write(store, maxWrites);
             if (isFailing) {
                 Logger.info("counts-delivered");
             }
             isFailing = false;
-            return true;
+            return isWritten;
         } catch (PlatformException e) {
             if (!isFailing) {
                 Logger.info("counts-kept increments={} reason=\"{}\"", queue.size(), e.getMessage());
--- a/node/src/main/java/io/cranberryarch/node/report/IncrementQueue.java
+++ b/node/src/main/java/io/cranberryarch/node/report/IncrementQueue.java
@@ -48,18 +48,30 @@
         }
     }
 
-    /** Writes what the store has not acknowledged yet; stops at the first failure. */
-    void write(ObjectStore store) throws PlatformException {
+    /**
+     * Writes what the store has not acknowledged yet, oldest first; stops at the first failure.
+     *
+     * @param store the store
+     * @param maxWrites the greatest number of writes
+     * @return whether the store has everything
+     */
+    boolean write(ObjectStore store, int maxWrites) throws PlatformException {
+        int writes = 0;
         Iterator<Entry> iterator = entries.iterator();
         while (iterator.hasNext()) {
             Entry entry = iterator.next();
             if (entry.isChanged) {
+                if (writes == maxWrites) {
+                    return false;
+                }
                 write(entry, store);
+                writes++;
             }
             if (entry.isClosed) {
                 iterator.remove();
             }
         }
+        return true;
     }
 
     void finish(long nowMs) {
