--- /dev/null
+++ b/decision/src/test/java/io/cranberryarch/decision/config/SettingsHistoryTest.java
@@ -0,0 +1,129 @@
+package io.cranberryarch.decision.config;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.cranberryarch.settings.SettingChange;
+import io.cranberryarch.settings.SettingEdit;
+import io.cranberryarch.settings.SettingPath;
+import io.cranberryarch.settings.SettingTree;
+import io.cranberryarch.settings.SettingsException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+
+class SettingsHistoryTest {
+
+    private static final int VERSIONS = 40;
+    private static final int NODES = 6;
+
+    @Property(tries = 100, seed = "31")
+    void versionsNeverGoDownAndConvergeAfterACutHeals(@ForAll long seed) throws SettingsException {
+        List<SettingTree> trees = toTrees();
+        List<SettingChange> log = toLog();
+        List<SettingsHistory> nodes = toNodes();
+        Random random = new Random(seed);
+        for (int step = 0; step < 300; step++) {
+            SettingsHistory node = nodes.get(random.nextInt(NODES));
+            long before = node.getTree().getVersion();
+            int stale = random.nextInt(VERSIONS);
+            switch (random.nextInt(4)) {
+                case 0 -> node.apply(log.subList(stale, random.nextInt(stale, VERSIONS)));
+                case 1 -> node.replace(trees.get(random.nextInt(step / 10 + 1)));
+                default -> pull(node, nodes.get(random.nextInt(NODES)));
+            }
+            assertTrue(node.getTree().getVersion() >= before, "reverted");
+            assertEquals(
+                    trees.get((int) node.getTree().getVersion()).getValues(),
+                    node.getTree().getValues());
+        }
+        long highest = nodes.stream()
+                .mapToLong(node -> node.getTree().getVersion())
+                .max()
+                .orElseThrow();
+        for (SettingsHistory node : nodes) {
+            nodes.forEach(peer -> pull(node, peer));
+            assertEquals(highest, node.getTree().getVersion());
+        }
+    }
+
+    @Property(tries = 100, seed = "32")
+    void nodeThatFarBehindGetsTheWholeTreeAndTheSameValues(@ForAll long seed) throws SettingsException {
+        SettingsHistory full = new SettingsHistory();
+        int snapshot = new Random(seed).nextInt(1, VERSIONS);
+        full.replace(toTrees().get(snapshot));
+        full.apply(toLog());
+        SettingsHistory empty = new SettingsHistory();
+        assertEquals(Optional.empty(), full.toPush(snapshot - 1));
+        pull(empty, full);
+        assertEquals(full.getTree().getValues(), empty.getTree().getValues());
+    }
+
+    @Test
+    void readyOnlyAtTheHighestVersionThatPeersKnowWhileThePlatformIsDown() throws SettingsException {
+        SettingsHistory node = new SettingsHistory();
+        node.replace(toTrees().get(5));
+        node.onPeer("a", 5);
+        node.onPeer("b", 9);
+        node.onPeer("c", 5);
+        assertFalse(node.isReady(10), "before the platform failed");
+        node.onPlatform(false);
+        assertFalse(node.isReady(10), "behind peer b");
+        node.replace(toTrees().get(9));
+        assertTrue(node.isReady(10));
+    }
+
+    @Test
+    void staleAnswerOfThePlatformDoesNotMakeANodeReady() throws SettingsException {
+        SettingsHistory node = new SettingsHistory();
+        node.onPeer("a", 9);
+        node.replace(toTrees().get(5));
+        node.onPlatform(true);
+        assertFalse(node.isReady(1));
+        node.replace(toTrees().get(9));
+        assertTrue(node.isReady(1));
+    }
+
+    private static void pull(SettingsHistory node, SettingsHistory peer) {
+        if (peer.getTree().getVersion() <= node.getTree().getVersion()) {
+            return;
+        }
+        Optional<List<SettingChange>> push = peer.toPush(node.getTree().getVersion());
+        if (push.isPresent()) {
+            node.apply(push.get());
+        } else {
+            node.replace(peer.getTree());
+        }
+    }
+
+    private static List<SettingsHistory> toNodes() {
+        List<SettingsHistory> nodes = new ArrayList<>();
+        for (int i = 0; i < NODES; i++) {
+            nodes.add(new SettingsHistory());
+        }
+        return nodes;
+    }
+
+    private static List<SettingChange> toLog() throws SettingsException {
+        List<SettingChange> log = new ArrayList<>();
+        for (int i = 1; i <= VERSIONS; i++) {
+            SettingPath path = SettingPath.of("/teams/t" + i % 3 + "/p" + i % 5);
+            Optional<String> value = i % 7 == 0 ? Optional.empty() : Optional.of(String.valueOf(i));
+            log.add(new SettingChange(i, "c" + i, "author", i, List.of(new SettingEdit(path, value))));
+        }
+        return log;
+    }
+
+    private static List<SettingTree> toTrees() throws SettingsException {
+        List<SettingTree> trees = new ArrayList<>(List.of(SettingTree.EMPTY));
+        for (SettingChange change : toLog()) {
+            trees.add(trees.get(trees.size() - 1).apply(change));
+        }
+        return trees;
+    }
+}
--- a/node/src/main/java/io/cranberryarch/node/NodeModule.java
+++ b/node/src/main/java/io/cranberryarch/node/NodeModule.java
@@ -19,6 +19,7 @@
 import io.cranberryarch.node.http.LocalHandler;
 import io.cranberryarch.node.lease.LeaseService;
 import io.cranberryarch.node.member.MemberService;
+import io.cranberryarch.node.member.RoutingService;
 import io.cranberryarch.node.metrics.NodeMetrics;
 import io.cranberryarch.node.peer.PeerNetwork;
 import io.cranberryarch.node.rate.RateAllocators;
@@ -27,7 +28,6 @@
 import io.cranberryarch.node.report.CountsReporter;
 import io.cranberryarch.node.report.CountsStore;
 import io.cranberryarch.platform.HttpPlatform;
-import io.cranberryarch.platform.SettingsLog;
 import io.cranberryarch.settings.NodeConfig;
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -129,16 +129,25 @@
 
     @Provides
     @Singleton
-    SettingsService provideSettings(HttpPlatform platform, PeerNetwork network, Clock clock) {
-        return new SettingsService(new SettingsLog(platform), network, clock);
+    SettingsService provideSettings(HttpPlatform platform, PeerNetwork network, NodeMetrics metrics, Clock clock) {
+        return new SettingsService(platform, platform, network, metrics, clock);
     }
 
     @Provides
     @Singleton
-    MemberService provideMembers(NodeIdentity identity, PeerNetwork network, SettingsService settings) {
+    MemberService provideMembers(
+            NodeIdentity identity, PeerNetwork network, SettingsService settings, NodeMetrics metrics, Clock clock) {
         try {
             return new MemberService(
-                    identity, config.host(), network.getPort(), config.slots(), config.seeds(), network, settings);
+                    identity,
+                    config.host(),
+                    network.getPort(),
+                    config.slots(),
+                    config.seeds(),
+                    network,
+                    settings,
+                    metrics,
+                    clock);
         } catch (IOException e) {
             throw new UncheckedIOException("the port for peers is closed", e);
         }
@@ -188,16 +197,23 @@
         return new Gate(clock, members, upstream, activeCalls, admission, keys, metrics);
     }
 
+    @Provides
+    @Singleton
+    RoutingService provideRouting(MemberService members, Clock clock) {
+        return new RoutingService(members, clock);
+    }
+
     @Provides
     @Singleton
     CallService provideCalls(
             Clock clock,
             MemberService members,
+            RoutingService routing,
             PeerNetwork network,
             Gate gate,
             KeyService keys,
             @Named("timer") ScheduledThreadPoolExecutor timer) {
-        return new CallService(clock, members, network, gate, keys, timer);
+        return new CallService(clock, members, routing, network, gate, keys, timer);
     }
 
     @Provides
--- a/node/src/main/java/io/cranberryarch/node/http/AdminHandler.java
+++ b/node/src/main/java/io/cranberryarch/node/http/AdminHandler.java
@@ -2,13 +2,12 @@
 
 import static java.nio.charset.StandardCharsets.US_ASCII;
 
-import io.cranberryarch.api.ApiJson;
 import io.cranberryarch.api.ChangeBody;
-import io.cranberryarch.api.ChangeRequest;
 import io.cranberryarch.api.CountsBody;
 import io.cranberryarch.api.EditBody;
 import io.cranberryarch.api.ErrorBody;
 import io.cranberryarch.api.HistoryBody;
+import io.cranberryarch.api.KeysBody;
 import io.cranberryarch.api.SettingsBody;
 import io.cranberryarch.api.StatusBody;
 import io.cranberryarch.base.Digests;
@@ -16,15 +15,17 @@
 import io.cranberryarch.decision.membership.Member;
 import io.cranberryarch.decision.membership.MemberState;
 import io.cranberryarch.node.call.Gate;
+import io.cranberryarch.node.config.SettingsConflictException;
 import io.cranberryarch.node.config.SettingsService;
 import io.cranberryarch.node.member.MemberService;
 import io.cranberryarch.node.metrics.NodeMetrics;
 import io.cranberryarch.node.report.CountsStore;
 import io.cranberryarch.platform.PlatformException;
+import io.cranberryarch.settings.AccountKey;
+import io.cranberryarch.settings.ClientAccount;
 import io.cranberryarch.settings.OperatorGrant;
 import io.cranberryarch.settings.SettingChange;
 import io.cranberryarch.settings.SettingEdit;
-import io.cranberryarch.settings.SettingPath;
 import io.cranberryarch.settings.SettingsException;
 import java.io.IOException;
 import java.util.ArrayList;
@@ -37,6 +38,7 @@
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
 import org.eclipse.jetty.util.Fields;
+import org.tinylog.Logger;
 
 /** The administration interface for operators, and the metrics for scrapers. */
 public final class AdminHandler extends Handler.Abstract.NonBlocking {
@@ -108,6 +110,7 @@
                     switch (request.getMethod() + " " + path) {
                         case "GET /v1/settings" -> readSettings(getParameter(request, "path", "/"), operator);
                         case "GET /v1/history" -> readHistory(getParameter(request, "path", "/"), operator);
+                        case "GET /v1/keys" -> listKeys(operator);
                         case "POST /v1/settings" -> change(body, operator);
                         case "GET /v1/status" -> toStatus();
                         case "POST /v1/drain" -> drain(operator);
@@ -124,6 +127,9 @@
             fail(response, callback, 400, "bad-request", String.valueOf(e.getMessage()));
         } catch (PlatformException e) {
             fail(response, callback, 503, "platform-unreachable", e.getMessage());
+        } catch (RuntimeException e) {
+            Logger.error(e, "admin-request-failed path={}", path);
+            fail(response, callback, 500, "internal-error", "the request failed; see the log of the node");
         }
     }
 
@@ -159,34 +165,30 @@
 
     private ChangeBody change(byte[] body, OperatorGrant operator)
             throws ApiException, SettingsException, PlatformException, IOException {
-        ChangeRequest request = ApiJson.MAPPER.readValue(body, ChangeRequest.class);
-        if (request.changeId() == null
-                || request.edits() == null
-                || request.edits().isEmpty()) {
-            throw new ApiException(400, "bad-request", List.of("changeId and edits are required"));
+        ChangeProposal change = ChangeProposal.parse(body, operator);
+        try {
+            long version = settings.propose(
+                    change.changeId(), operator.name(), change.baseVersion(), change.subtree(), change.edits());
+            List<EditBody> edits = new ArrayList<>();
+            change.edits()
+                    .forEach(edit -> edits.add(
+                            new EditBody(edit.path().toString(), edit.value().orElse(null))));
+            return new ChangeBody(version, operator.name(), 0, edits);
+        } catch (SettingsConflictException e) {
+            throw new ApiException(409, "conflict", List.of(e.getMessage()));
         }
-        List<SettingEdit> edits = new ArrayList<>();
-        Optional<String> team = Optional.empty();
-        for (EditBody edit : request.edits()) {
-            SettingPath path = SettingPath.of(edit.path());
-            if (!operator.isAllowed(path)) {
-                throw new ApiException(403, "not-your-subtree", List.of(path + " belongs to another team"));
-            }
-            if (path.getTeam().isEmpty() || (team.isPresent() && !team.equals(path.getTeam()))) {
-                throw new ApiException(400, "bad-request", List.of("all paths must lie in one team's subtree"));
+    }
+
+    private KeysBody listKeys(OperatorGrant operator) {
+        List<KeysBody.KeyBody> keys = new ArrayList<>();
+        for (AccountKey key : new TreeMap<>(settings.getFleet().getKeys()).values()) {
+            Optional<String> team =
+                    settings.getFleet().getAccount(key.account()).map(ClientAccount::team);
+            if (operator.team().isEmpty() || operator.team().equals(team)) {
+                keys.add(new KeysBody.KeyBody(key.id(), key.account(), settings.isWithdrawn(key.id())));
             }
-            team = path.getTeam();
-            edits.add(new SettingEdit(path, Optional.ofNullable(edit.value())));
-        }
-        String subtree = "/teams/" + team.orElseThrow();
-        Optional<Long> version =
-                settings.propose(request.changeId(), operator.name(), request.baseVersion(), subtree, edits);
-        if (version.isEmpty()) {
-            throw new ApiException(
-                    409, "conflict", List.of(subtree + " was changed since version " + request.baseVersion()));
         }
-        members.spread();
-        return new ChangeBody(version.get(), operator.name(), 0, request.edits());
+        return new KeysBody(keys);
     }
 
     private StatusBody toStatus() {
@@ -232,7 +234,6 @@
             throw new ApiException(403, "not-your-subtree", List.of("the key belongs to another team"));
         }
         settings.addWithdrawnKeys(List.of(keyId));
-        members.spread();
         return toStatus();
     }
 
--- a/node/src/main/java/io/cranberryarch/node/peer/PeerConnection.java
+++ b/node/src/main/java/io/cranberryarch/node/peer/PeerConnection.java
@@ -358,7 +358,7 @@
             }
             case CANCEL -> onCancel(frame.id());
             case GO_AWAY -> onGoAway((GoAwayMessage) frame.message());
-            case ANSWER, GOSSIP_ANSWER, SETTINGS_PUSH, TOKEN_ANSWER -> onAnswer(frame);
+            case ANSWER, GOSSIP_ANSWER, PROBE_ANSWER, SETTINGS_PUSH, TOKEN_ANSWER -> onAnswer(frame);
             default -> {
                 if (accept(frame.id())) {
                     handler.onFrame(this, frame);
