Nodes that are no delegates spare the platform in an outage

Cause: a node whose last contact with the platform failed read the log each 500 ms, also when it was no delegate, so that an outage, and the return from it, met 2,100 readers at once. Found by reading the code against the platform's 2,000 reads a second. Ruled out: reading on only at delegates (a node that starts in an outage has no delegate yet). A node that is ready reads each 30 to 60 s, one that is not each 1.5 to 3 s; delegates as before.

--- a/node/src/main/java/io/cranberryarch/node/config/SettingsService.java
+++ b/node/src/main/java/io/cranberryarch/node/config/SettingsService.java
@@ -42,6 +42,7 @@
 
     private static final long POLL_INTERVAL_MS = 500;
     private static final long FALLBACK_POLL_MS = 30_000;
+    private static final long RETRY_POLL_MS = 1_500;
     private static final int SNAPSHOT_CHANGES = 500;
     private static final int MAX_COMMIT_ATTEMPTS = 20;
 
@@ -346,11 +347,12 @@
         }
     }
 
-    private void poll() {
+    /** Reads the platform if that is due: always at a delegate, rarely at other nodes. Blocks. */
+    void poll() {
+        long nowMs = clock.monotonicMs();
         try {
-            long nowMs = clock.monotonicMs();
-            boolean isFull = nowMs >= nextFullPollMs || !platformReachable;
-            if (!isFull && !delegate && ready) {
+            boolean isFull = nowMs >= nextFullPollMs;
+            if (!isFull && !delegate) {
                 withdrawals.storeNew();
                 return;
             }
@@ -364,8 +366,7 @@
             withdrawals.storeNew();
             writeSnapshot();
             if (isFull) {
-                nextFullPollMs =
-                        nowMs + FALLBACK_POLL_MS + ThreadLocalRandom.current().nextLong(FALLBACK_POLL_MS);
+                nextFullPollMs = nowMs + toJittered(FALLBACK_POLL_MS);
             }
             markPlatform(true);
         } catch (PlatformException e) {
@@ -373,11 +374,16 @@
                 Logger.warn("platform-unreachable reason=\"{}\"", e.getMessage());
             }
             markPlatform(false);
+            nextFullPollMs = nowMs + toJittered(ready ? FALLBACK_POLL_MS : RETRY_POLL_MS);
         } catch (RuntimeException e) {
             Logger.error(e, "settings-poll-failed");
         }
     }
 
+    private static long toJittered(long ms) {
+        return ms + ThreadLocalRandom.current().nextLong(ms);
+    }
+
     private void markPlatform(boolean isAnswered) {
         if (isAnswered && !platformReachable) {
             Logger.info("platform-reachable version={}", getVersion());
--- /dev/null
+++ b/node/src/test/java/io/cranberryarch/node/config/SettingsServiceTest.java
@@ -0,0 +1,86 @@
+package io.cranberryarch.node.config;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.cranberryarch.base.ManualClock;
+import io.cranberryarch.node.metrics.NodeMetrics;
+import io.cranberryarch.platform.PlatformException;
+import io.cranberryarch.platform.Row;
+import io.cranberryarch.platform.TableStore;
+import io.cranberryarch.platform.Transaction;
+import io.cranberryarch.standin.MemoryPlatform;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+class SettingsServiceTest {
+
+    private static final int NODES = 2_100;
+    private static final int PLATFORM_READS_PER_SECOND = 2_000;
+    private static final int SECONDS = 120;
+    private static final long POLL_MS = 500;
+
+    /** A table that is down or empty, and counts the requests. */
+    private static final class CountingTable implements TableStore {
+        private final MemoryPlatform platform = new MemoryPlatform();
+        private boolean isDown;
+        private int requests;
+
+        @Override
+        public Optional<Row> get(String key) throws PlatformException {
+            request();
+            return platform.get(key);
+        }
+
+        @Override
+        public List<Row> list(String prefix, String after, int limit) throws PlatformException {
+            request();
+            return platform.list(prefix, after, limit);
+        }
+
+        @Override
+        public boolean commit(Transaction transaction) throws PlatformException {
+            request();
+            return platform.commit(transaction);
+        }
+
+        private void request() throws PlatformException {
+            requests++;
+            if (isDown) {
+                throw new PlatformException("down");
+            }
+        }
+    }
+
+    private final CountingTable table = new CountingTable();
+    private final ManualClock clock = new ManualClock(1_000);
+    private final SettingsService settings =
+            new SettingsService(table, new MemoryPlatform(), null, new NodeMetrics(), clock);
+
+    @Test
+    void fleetStaysWithinTheReadsOfThePlatformInAnOutage() {
+        settings.poll();
+        assertTrue(settings.isReady());
+        table.isDown = true;
+        assertReadsWithinBound();
+        assertFalse(settings.isPlatformReachable());
+    }
+
+    @Test
+    void fleetThatStartsInAnOutageStaysWithinTheReadsOfThePlatform() {
+        table.isDown = true;
+        assertReadsWithinBound();
+        assertFalse(settings.isReady());
+    }
+
+    private void assertReadsWithinBound() {
+        table.requests = 0;
+        for (long ms = 0; ms < SECONDS * 1_000; ms += POLL_MS) {
+            clock.advance(POLL_MS);
+            settings.poll();
+        }
+        long perSecond = (long) table.requests * NODES / SECONDS;
+        assertTrue(perSecond < PLATFORM_READS_PER_SECOND, "reads of the fleet per second: " + perSecond);
+    }
+}
