Checks and commits of operators' changes in a class of their own; connecting on a closed group fails as a lost peer

SettingsService held reading, spreading and committing; the last moved to SettingsCommits unchanged. PeerNetwork let ShutdownChannelGroupException escape when a node was killed, which the rate's tick logged as an error.

--- a/node/src/main/java/io/cranberryarch/node/config/SettingsService.java
+++ b/node/src/main/java/io/cranberryarch/node/config/SettingsService.java
@@ -14,7 +14,6 @@
 import io.cranberryarch.settings.FleetSettings;
 import io.cranberryarch.settings.SettingChange;
 import io.cranberryarch.settings.SettingEdit;
-import io.cranberryarch.settings.SettingLimits;
 import io.cranberryarch.settings.SettingTree;
 import io.cranberryarch.settings.SettingsException;
 import io.cranberryarch.wire.Frame;
@@ -22,7 +21,6 @@
 import io.cranberryarch.wire.SettingsPullMessage;
 import io.cranberryarch.wire.SettingsPushMessage;
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
@@ -44,11 +42,11 @@
     private static final long FALLBACK_POLL_MS = 30_000;
     private static final long RETRY_POLL_MS = 1_500;
     private static final int SNAPSHOT_CHANGES = 500;
-    private static final int MAX_COMMIT_ATTEMPTS = 20;
 
     private final SettingsLog log;
     private final SettingsSnapshots snapshots;
     private final WithdrawalService withdrawals;
+    private final SettingsCommits commits;
     private final PeerNetwork network;
     private final NodeMetrics metrics;
     private final Clock clock;
@@ -75,6 +73,7 @@
         this.log = new SettingsLog(table);
         this.snapshots = new SettingsSnapshots(objects);
         this.withdrawals = new WithdrawalService(new WithdrawalStore(table), metrics);
+        this.commits = new SettingsCommits(this, log, withdrawals, clock);
         this.network = network;
         this.metrics = metrics;
         this.clock = clock;
@@ -282,68 +281,12 @@
      */
     public long propose(String changeId, String author, long baseVersion, String subtree, List<SettingEdit> edits)
             throws SettingsConflictException, SettingsException, PlatformException {
-        for (int i = 0; i < MAX_COMMIT_ATTEMPTS; i++) {
-            readLog();
-            List<SettingChange> later = readAfter(baseVersion);
-            Optional<Long> accepted = findAccepted(later, changeId);
-            if (accepted.isPresent()) {
-                return accepted.get();
-            }
-            checkConflict(later, baseVersion, subtree);
-            SettingTree tree = getTree();
-            SettingLimits.check(tree, subtree, edits);
-            checkKeys(edits);
-            SettingChange change = new SettingChange(tree.getVersion() + 1, changeId, author, clock.wallMs(), edits);
-            FleetSettings.of(tree.apply(change));
-            if (log.commit(change)) {
-                apply(List.of(change));
-                return change.version();
-            }
-            withdrawals.readAll();
-        }
-        throw new PlatformException("too many other changes at the same time");
+        return commits.propose(changeId, author, baseVersion, subtree, edits);
     }
 
-    private List<SettingChange> readAfter(long version) throws PlatformException {
-        Optional<List<SettingChange>> kept;
+    Optional<List<SettingChange>> findChangesAfter(long version) {
         synchronized (history) {
-            kept = history.findAfter(version);
-        }
-        if (kept.isPresent()) {
-            return kept.get();
-        }
-        List<SettingChange> later = new ArrayList<>();
-        List<SettingChange> page = log.readAfter(version);
-        while (!page.isEmpty()) {
-            later.addAll(page);
-            page = log.readAfter(page.get(page.size() - 1).version());
-        }
-        return later;
-    }
-
-    private static Optional<Long> findAccepted(List<SettingChange> later, String changeId) {
-        return later.stream()
-                .filter(change -> change.changeId().equals(changeId))
-                .map(SettingChange::version)
-                .findFirst();
-    }
-
-    private static void checkConflict(List<SettingChange> later, long baseVersion, String subtree)
-            throws SettingsConflictException {
-        for (int i = later.size() - 1; i >= 0; i--) {
-            SettingChange change = later.get(i);
-            if (change.edits().stream().anyMatch(edit -> edit.path().isWithin(subtree))) {
-                throw new SettingsConflictException(subtree, baseVersion, change);
-            }
-        }
-    }
-
-    private void checkKeys(List<SettingEdit> edits) throws SettingsException {
-        for (SettingEdit edit : edits) {
-            Optional<String> keyId = edit.path().getKeyId();
-            if (edit.value().isPresent() && keyId.isPresent() && isWithdrawn(keyId.get())) {
-                throw new SettingsException(List.of(edit.path() + ": this key was withdrawn; issue a new one"));
-            }
+            return history.findAfter(version);
         }
     }
 
@@ -395,7 +338,7 @@
         }
     }
 
-    private void readLog() throws PlatformException {
+    void readLog() throws PlatformException {
         List<SettingChange> newer = log.readAfter(getVersion());
         while (!newer.isEmpty()) {
             apply(newer);
@@ -438,7 +381,7 @@
         listener.run();
     }
 
-    private void apply(List<SettingChange> newer) {
+    void apply(List<SettingChange> newer) {
         List<SettingChange> applied;
         synchronized (history) {
             applied = history.apply(newer);
--- a/node/src/main/java/io/cranberryarch/node/peer/PeerNetwork.java
+++ b/node/src/main/java/io/cranberryarch/node/peer/PeerNetwork.java
@@ -155,7 +155,7 @@
                     timer.schedule(() -> closeUnconnected(channel, target), CONNECT_TIMEOUT_MS, TimeUnit.MILLISECONDS);
             target.whenComplete((connection, failure) -> timeout.cancel(false));
             channel.connect(address, null, new ConnectHandler(channel, target));
-        } catch (IOException | IllegalArgumentException | UnsupportedOperationException e) {
+        } catch (IOException | IllegalArgumentException | IllegalStateException | UnsupportedOperationException e) {
             target.completeExceptionally(new PeerLostException(String.valueOf(e.getMessage()), false));
         }
     }
