--- a/wire/src/test/java/io/cranberryarch/wire/FrameCodecTest.java
+++ b/wire/src/test/java/io/cranberryarch/wire/FrameCodecTest.java
@@ -17,6 +17,8 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.Size;
 import org.junit.jupiter.api.Test;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
 
 class FrameCodecTest {
 
@@ -53,6 +55,22 @@
         }
     }
 
+    @Property(tries = 20_000, seed = "3")
+    void anyFieldsOfAnyTypeAreDecodedOrRejected(@ForAll MessageType type, @ForAll @Size(max = 100) byte[] fields)
+            throws IOException {
+        MessageBufferPacker packer = MessagePack.newDefaultBufferPacker();
+        packer.packInt(type.getCode()).packLong(1);
+        packer.writePayload(fields);
+        byte[] payload = packer.toByteArray();
+        ByteBuffer bytes = ByteBuffer.allocate(FrameCodec.LENGTH_BYTES + payload.length);
+        bytes.putInt(payload.length).put(payload).flip();
+        try {
+            assertEquals(type, FrameCodec.decode(bytes).orElseThrow().message().getType());
+        } catch (MalformedFrameException e) {
+            assertTrue(!e.getMessage().isEmpty());
+        }
+    }
+
     @Test
     void partOfAFrameIsNotDecoded() throws IOException {
         ByteBuffer whole = FrameCodec.encode(new Frame(1, new PingMessage(false)));
