--- a/app/src/main/java/io/cranberryarch/app/Main.java
+++ b/app/src/main/java/io/cranberryarch/app/Main.java
@@ -26,6 +26,7 @@
         mixinStandardHelpOptions = true,
         subcommands = {
             NodeCommand.class,
+            ServeCommand.class,
             CheckCommand.class,
             SettingsCommand.class,
             AccountCommand.class,
--- /dev/null
+++ b/context/src/main/java/io/cranberryarch/context/ForwardedRequest.java
@@ -0,0 +1,44 @@
+package io.cranberryarch.context;
+
+import java.util.List;
+
+/**
+ * A request on its way from the node that received it to the node of the instance that runs it.
+ *
+ * @param requestId the identifier that the caller gave it
+ * @param service the service that is to run it
+ * @param tree the route of the request at the root of its call tree
+ * @param rank the importance of the root, 0 for the most important
+ * @param isNested whether an upstream made it while it ran another request
+ * @param timeoutMs the time left for its answer, in milliseconds
+ * @param method the method
+ * @param target path and query
+ * @param headers the headers for the upstream
+ * @param body the body
+ * @param hasBody whether there is a body, which may be empty
+ */
+@SuppressWarnings("ArrayRecordComponent")
+public record ForwardedRequest(
+        String requestId,
+        String service,
+        String tree,
+        int rank,
+        boolean isNested,
+        long timeoutMs,
+        String method,
+        String target,
+        List<HeaderField> headers,
+        byte[] body,
+        boolean hasBody) {
+
+    /**
+     * Creates a copy with another timeout.
+     *
+     * @param leftMs the time left in milliseconds
+     * @return the copy
+     */
+    public ForwardedRequest withTimeoutMs(long leftMs) {
+        return new ForwardedRequest(
+                requestId, service, tree, rank, isNested, leftMs, method, target, headers, body, hasBody);
+    }
+}
--- /dev/null
+++ b/mesh/src/main/java/io/cranberryarch/mesh/EntryService.java
@@ -0,0 +1,315 @@
+package io.cranberryarch.mesh;
+
+import io.cranberryarch.context.Execution;
+import io.cranberryarch.context.ForwardedAnswer;
+import io.cranberryarch.context.ForwardedRequest;
+import io.cranberryarch.context.HeaderField;
+import io.cranberryarch.decision.serving.RouteCosts;
+import io.cranberryarch.net.EventLoop;
+import io.cranberryarch.net.HttpExchange;
+import io.cranberryarch.net.HttpHeaders;
+import io.cranberryarch.net.HttpRequestMessage;
+import io.cranberryarch.net.HttpResponseMessage;
+import io.cranberryarch.settings.serving.AccountRule;
+import io.cranberryarch.settings.serving.ServingRoute;
+import io.cranberryarch.settings.serving.ServingRules;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
+
+/**
+ * Receives requests of callers, and the calls that the upstream makes while it runs other requests: finds the route,
+ * checks the key, charges the rate, refuses what cannot be served, and forwards the rest.
+ */
+final class EntryService {
+
+    private static final String BEARER = "bearer ";
+    private static final long DEFAULT_TIMEOUT_MS = 5_000;
+
+    /** The time before the end of the timeout at which an answer is given up, so that it reaches the caller in time. */
+    private static final long TIMEOUT_MARGIN_MS = 5;
+
+    /** How soon a caller may come back when the node knows no rules yet or no instance can be reached. */
+    private static final long UNAVAILABLE_RETRY_AFTER_MS = 500;
+
+    /** The shortest and the longest time after which a request that was refused for overload comes back. */
+    private static final long MIN_OVERLOAD_RETRY_AFTER_MS = 300;
+
+    private static final long MAX_OVERLOAD_RETRY_AFTER_MS = 1_500;
+
+    /** The golden ratio: multiples of it, modulo one, are spread evenly whatever their number. */
+    private static final double GOLDEN_RATIO = 0.618_033_988_749_895;
+
+    private final EventLoop loop;
+    private final MeshSettings settings;
+    private final HeaderNames names;
+    private final RulesService rules;
+    private final PeerService peers;
+    private final Gate gate;
+    private final Forwarder forwarder;
+    private final QuotaService quotas;
+    private final ServiceLoads loads;
+    private final RouteCosts costs;
+    private final MeshMetrics metrics;
+    private final EventLog log;
+    private final Set<String> droppedHeaders;
+    private final Map<String, Long> splitCounters = new HashMap<>();
+    private int inProgress;
+
+    EntryService(
+            EventLoop loop,
+            MeshSettings settings,
+            HeaderNames names,
+            RulesService rules,
+            PeerService peers,
+            Gate gate,
+            Forwarder forwarder,
+            QuotaService quotas,
+            ServiceLoads loads,
+            RouteCosts costs,
+            MeshMetrics metrics,
+            EventLog log) {
+        this.loop = loop;
+        this.settings = settings;
+        this.names = names;
+        this.rules = rules;
+        this.peers = peers;
+        this.gate = gate;
+        this.forwarder = forwarder;
+        this.quotas = quotas;
+        this.loads = loads;
+        this.costs = costs;
+        this.metrics = metrics;
+        this.log = log;
+        this.droppedHeaders = toLowerCase(
+                "Authorization",
+                names.timeoutMs(),
+                names.account(),
+                names.callerService(),
+                names.expectedInstance(),
+                names.instance(),
+                names.notExecuted());
+    }
+
+    void onRequest(HttpExchange exchange) {
+        new Entry(exchange).handle();
+    }
+
+    int countInProgress() {
+        return inProgress;
+    }
+
+    private static Set<String> toLowerCase(String... headers) {
+        Set<String> lower = new HashSet<>();
+        for (String header : headers) {
+            lower.add(header.toLowerCase(Locale.ROOT));
+        }
+        return lower;
+    }
+
+    /** One request. */
+    private final class Entry {
+
+        private final HttpExchange exchange;
+        private final HttpRequestMessage request;
+        private final String requestId;
+        private final long startMs;
+        private Optional<ServingRoute> route = Optional.empty();
+        private Optional<AccountRule> account = Optional.empty();
+        private Optional<Gate.Run> parent = Optional.empty();
+        private String service = "";
+        private Optional<Forwarder.Attempts> attempts = Optional.empty();
+        private Optional<EventLoop.Timer> timeout = Optional.empty();
+        private boolean isDone;
+
+        Entry(HttpExchange exchange) {
+            this.exchange = exchange;
+            this.request = exchange.getRequest();
+            this.requestId = request.findHeader(names.requestId()).orElse("");
+            this.startMs = loop.nowMs();
+        }
+
+        void handle() {
+            inProgress++;
+            Optional<ServingRules> known = rules.getRules();
+            if (known.isEmpty()) {
+                refuse(503, "rules-unknown", UNAVAILABLE_RETRY_AFTER_MS);
+                return;
+            }
+            route = known.get().findRoute(request.findHeader("Host").orElse(""), request.getPath());
+            if (route.isEmpty()) {
+                refuse(404, "no-route", 0);
+                return;
+            }
+            long leftMs = toTimeoutMs(route.get());
+            if (!authenticate(known.get(), route.get(), leftMs)) {
+                refuse(401, "key-rejected", 0);
+                return;
+            }
+            Optional<Long> overRateMs = account.flatMap(charged -> quotas.charge(charged, peers));
+            if (overRateMs.isPresent()) {
+                refuse(429, "over-rate", overRateMs.get());
+                return;
+            }
+            service = pickService(route.get());
+            int rank = toRank(route.get());
+            if (parent.isEmpty() && shed(known.get(), route.get(), rank)) {
+                return;
+            }
+            forward(route.get(), rank, leftMs);
+        }
+
+        private long toTimeoutMs(ServingRoute target) {
+            String text = request.findHeader(names.timeoutMs()).orElse("");
+            long callerMs = text.matches("\\d{1,9}") ? Long.parseLong(text) : DEFAULT_TIMEOUT_MS;
+            return Math.max(1, Math.min(callerMs, target.timeoutMs()) - TIMEOUT_MARGIN_MS);
+        }
+
+        /** Finds the account of the request, or the run to which a nested call belongs. */
+        private boolean authenticate(ServingRules known, ServingRoute target, long leftMs) {
+            String header = request.findHeader("Authorization").orElse("");
+            if (header.toLowerCase(Locale.ROOT).startsWith(BEARER)) {
+                account = known.findAccount(header.substring(BEARER.length()).strip());
+                return account.isPresent() || target.isOpen();
+            }
+            String text = request.findHeader(names.timeoutMs()).orElse("");
+            if (header.isEmpty() && text.matches("\\d{1,9}")) {
+                parent = gate.findParent(startMs + Long.parseLong(text));
+            }
+            boolean isNested = parent.isPresent() || (header.isEmpty() && gate.isActive());
+            return target.isOpen() || (isNested && leftMs > 0);
+        }
+
+        private String pickService(ServingRoute target) {
+            if (target.services().size() == 1) {
+                return target.services().get(0).service();
+            }
+            long count = splitCounters.merge(target.name(), 1L, Long::sum);
+            return target.pickService((count * GOLDEN_RATIO) % 1.0);
+        }
+
+        private int toRank(ServingRoute target) {
+            if (parent.isPresent()) {
+                return parent.get().getRequest().rank();
+            }
+            return account.flatMap(AccountRule::rank).orElse(target.rank());
+        }
+
+        private boolean shed(ServingRules known, ServingRoute target, int rank) {
+            Optional<ServiceLoads.Overload> overload = loads.findOverload(target.name(), service, rank, known);
+            if (overload.isEmpty()) {
+                return false;
+            }
+            refuse(503, "overload-of-" + overload.get().service(), toOverloadRetryAfterMs());
+            return true;
+        }
+
+        private long toOverloadRetryAfterMs() {
+            return ThreadLocalRandom.current().nextLong(MIN_OVERLOAD_RETRY_AFTER_MS, MAX_OVERLOAD_RETRY_AFTER_MS);
+        }
+
+        private void forward(ServingRoute target, int rank, long leftMs) {
+            List<HeaderField> headers = HttpHeaders.toEndToEnd(request.headers(), droppedHeaders);
+            headers.add(new HeaderField(names.callerService(), settings.service()));
+            account.ifPresent(known -> headers.add(new HeaderField(names.account(), known.name())));
+            String tree = parent.map(run -> run.getRequest().tree()).orElse(target.name());
+            ForwardedRequest forwarded = new ForwardedRequest(
+                    requestId,
+                    service,
+                    tree,
+                    rank,
+                    parent.isPresent(),
+                    leftMs,
+                    request.method(),
+                    request.target(),
+                    headers,
+                    request.body(),
+                    request.hasBody());
+            exchange.onAbandoned(this::abandon);
+            timeout = Optional.of(loop.schedule(leftMs, this::expire));
+            Forwarder.Attempts sent =
+                    forwarder.send(forwarded, target.isIdempotent(), Math.max(1, target.maxAttempts()), this::finish);
+            attempts = Optional.of(sent);
+        }
+
+        private void finish(ForwardedAnswer answer) {
+            if (!answer.usedMs().isEmpty()) {
+                parent.ifPresent(run -> run.addUsed(answer.usedMs()));
+                if (parent.isEmpty() && answer.isAnswered()) {
+                    costs.record(route.orElseThrow().name(), answer.usedMs());
+                }
+            }
+            if (answer.isAnswered()) {
+                respond(new HttpResponseMessage(answer.status(), answer.headers(), answer.body()), "answered");
+            } else if (answer.execution() == Execution.NOT_RUN) {
+                long retryAfterMs =
+                        answer.reason().equals("overloaded") ? toOverloadRetryAfterMs() : UNAVAILABLE_RETRY_AFTER_MS;
+                refuse(503, answer.reason(), retryAfterMs);
+            } else {
+                refuse(answer.reason().equals("timeout") ? 504 : 502, answer.reason(), 0);
+            }
+        }
+
+        private void expire() {
+            boolean isMaybeRun = attempts.map(Forwarder.Attempts::isMaybeRun).orElse(false);
+            attempts.ifPresent(Forwarder.Attempts::cancel);
+            refuse(isMaybeRun ? 504 : 503, "timeout", UNAVAILABLE_RETRY_AFTER_MS);
+        }
+
+        private void abandon() {
+            attempts.ifPresent(Forwarder.Attempts::cancel);
+            end("caller-left", 0);
+        }
+
+        private void refuse(int status, String reason, long retryAfterMs) {
+            List<HeaderField> headers = new ArrayList<>();
+            if (!requestId.isEmpty()) {
+                headers.add(new HeaderField(names.requestId(), requestId));
+            }
+            if (retryAfterMs > 0 && (status == 503 || status == 429)) {
+                double seconds = retryAfterMs / 1_000.0;
+                headers.add(new HeaderField("Retry-After", String.format(Locale.ROOT, "%.3f", seconds)));
+            }
+            if (status == 401) {
+                headers.add(new HeaderField("WWW-Authenticate", "Bearer"));
+            }
+            headers.add(new HeaderField("Content-Type", "application/json"));
+            String body = "{\"reason\":\"" + reason + "\"}";
+            respond(new HttpResponseMessage(status, headers, body.getBytes(StandardCharsets.US_ASCII)), reason);
+        }
+
+        private void respond(HttpResponseMessage response, String outcome) {
+            if (isDone) {
+                return;
+            }
+            end(outcome, response.status());
+            exchange.respond(response);
+        }
+
+        private void end(String outcome, int status) {
+            if (isDone) {
+                return;
+            }
+            isDone = true;
+            inProgress--;
+            timeout.ifPresent(EventLoop.Timer::cancel);
+            long tookMs = loop.nowMs() - startMs;
+            String routeName = route.map(ServingRoute::name).orElse("none");
+            metrics.record(routeName, outcome, status, tookMs);
+            boolean isOrdinary = outcome.equals("answered") && status < 500;
+            if (!isOrdinary && log.tryRequest(loop.nowMs())) {
+                log.state("event=request-ended request=" + requestId + " route=" + routeName + " service=" + service
+                        + " account=" + account.map(AccountRule::name).orElse("-") + " nested=" + parent.isPresent()
+                        + " status=" + status + " outcome=" + outcome + " took-ms=" + tookMs + " rules-version="
+                        + rules.getVersion());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/mesh/src/main/java/io/cranberryarch/mesh/EventLog.java
@@ -0,0 +1,111 @@
+package io.cranberryarch.mesh;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.tinylog.Logger;
+
+/**
+ * Writes structured lines, {@code event=NAME key=value ...}, without ever blocking the caller.
+ *
+ * <p>Lines wait in a bounded queue for a thread of their own, which hands them to the logging library in batches. Lines
+ * about requests are limited to a number a second; lines that do not fit are counted, and the count is logged.
+ */
+public final class EventLog implements AutoCloseable {
+
+    private static final int QUEUE_LINES = 4_096;
+    private static final long FLUSH_INTERVAL_MS = 200;
+    private static final long WINDOW_MS = 1_000;
+
+    private final BlockingQueue<String> queue = new ArrayBlockingQueue<>(QUEUE_LINES);
+    private final AtomicLong leftOut = new AtomicLong();
+    private final int requestLinesPerS;
+    private final Thread writer;
+    private long windowStartMs;
+    private int windowLines;
+    private volatile boolean isClosed;
+
+    /**
+     * Creates a log and starts its thread.
+     *
+     * @param requestLinesPerS the most lines about requests a second
+     */
+    public EventLog(int requestLinesPerS) {
+        this.requestLinesPerS = requestLinesPerS;
+        this.writer = new Thread(this::write, "log");
+        writer.setDaemon(true);
+        writer.start();
+    }
+
+    /**
+     * Logs a change of state or of what the node believes. Thread-safe.
+     *
+     * @param line the line
+     */
+    public void state(String line) {
+        if (!queue.offer(line)) {
+            leftOut.incrementAndGet();
+        }
+    }
+
+    /**
+     * Tells whether a line about a request fits into the current second, and counts it. Called from one thread.
+     *
+     * @param nowMs the time in milliseconds
+     * @return whether the line may be logged
+     */
+    public boolean tryRequest(long nowMs) {
+        if (nowMs - windowStartMs >= WINDOW_MS) {
+            windowStartMs = nowMs;
+            windowLines = 0;
+        }
+        windowLines++;
+        if (windowLines <= requestLinesPerS) {
+            return true;
+        }
+        leftOut.incrementAndGet();
+        return false;
+    }
+
+    /** Writes what is queued and ends the thread. */
+    @Override
+    public void close() {
+        isClosed = true;
+        try {
+            writer.join(FLUSH_INTERVAL_MS * 2);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void write() {
+        List<String> batch = new ArrayList<>();
+        boolean isLast = false;
+        while (!isLast) {
+            isLast = isClosed;
+            try {
+                String first = isLast ? queue.poll() : queue.poll(FLUSH_INTERVAL_MS * 5, TimeUnit.MILLISECONDS);
+                if (first == null) {
+                    continue;
+                }
+                batch.add(first);
+                if (!isLast) {
+                    TimeUnit.MILLISECONDS.sleep(FLUSH_INTERVAL_MS);
+                }
+            } catch (InterruptedException e) {
+                isLast = true;
+            }
+            queue.drainTo(batch);
+            batch.forEach(Logger::info);
+            batch.clear();
+            long count = leftOut.getAndSet(0);
+            if (count > 0) {
+                Logger.info("event=log-left-out lines={}", count);
+            }
+            System.out.flush();
+        }
+    }
+}
--- /dev/null
+++ b/mesh/src/main/java/io/cranberryarch/mesh/Forwarder.java
@@ -0,0 +1,215 @@
+package io.cranberryarch.mesh;
+
+import io.cranberryarch.context.Execution;
+import io.cranberryarch.context.ForwardedAnswer;
+import io.cranberryarch.context.ForwardedRequest;
+import io.cranberryarch.decision.serving.InstanceChoice;
+import io.cranberryarch.decision.serving.RepeatBudget;
+import io.cranberryarch.net.EventLoop;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Consumer;
+
+/** Sends requests to an instance of their service, and to another one where that is safe and within the budget. */
+final class Forwarder {
+
+    private static final int SERVER_ERROR = 500;
+
+    /** Instances that may refuse a request unseen before it is given up. */
+    private static final int MAX_REDIRECTS = 3;
+
+    private final EventLoop loop;
+    private final MeshSettings settings;
+    private final PeerService peers;
+    private final Gate gate;
+    private final EventLog log;
+    private final Map<String, RepeatBudget> budgets = new HashMap<>();
+
+    Forwarder(EventLoop loop, MeshSettings settings, PeerService peers, Gate gate, EventLog log) {
+        this.loop = loop;
+        this.settings = settings;
+        this.peers = peers;
+        this.gate = gate;
+        this.log = log;
+    }
+
+    /**
+     * Sends a request.
+     *
+     * @param request the request
+     * @param isIdempotent whether it may run more than once
+     * @param maxAttempts the most instances that it may be sent to
+     * @param callback takes the outcome, once, unless the request is cancelled
+     * @return gives the request up
+     */
+    Attempts send(ForwardedRequest request, boolean isIdempotent, int maxAttempts, Consumer<ForwardedAnswer> callback) {
+        Attempts attempts = new Attempts(request, isIdempotent, maxAttempts, callback);
+        getBudget(request.service()).onFirstSend(peers.countNodes());
+        attempts.next();
+        return attempts;
+    }
+
+    private RepeatBudget getBudget(String service) {
+        return budgets.computeIfAbsent(
+                service, unused -> new RepeatBudget(settings.repeatRatio(), settings.repeatSlack()));
+    }
+
+    /** The attempts of one request, one after the other. */
+    final class Attempts {
+
+        private final ForwardedRequest request;
+        private final boolean isIdempotent;
+        private final int maxAttempts;
+        private final Consumer<ForwardedAnswer> callback;
+        private final long deadlineMs;
+        private final Set<String> tried = new HashSet<>();
+        private Runnable cancelCurrent = () -> {};
+        private int sent;
+        private int redirects;
+        private boolean mayHaveRun;
+        private boolean isDone;
+
+        private Attempts(
+                ForwardedRequest request, boolean isIdempotent, int maxAttempts, Consumer<ForwardedAnswer> callback) {
+            this.request = request;
+            this.isIdempotent = isIdempotent;
+            this.maxAttempts = maxAttempts;
+            this.callback = callback;
+            this.deadlineMs = loop.nowMs() + request.timeoutMs();
+        }
+
+        /** Gives the request up; the callback is not called any more. */
+        void cancel() {
+            if (!isDone) {
+                isDone = true;
+                cancelCurrent.run();
+            }
+        }
+
+        /** Tells whether an instance may have run the request. */
+        boolean isMaybeRun() {
+            return mayHaveRun || sent > 0;
+        }
+
+        private void next() {
+            Optional<Peer> place = choose();
+            if (place.isEmpty()) {
+                finish(ForwardedAnswer.ofFailure(
+                        mayHaveRun ? Execution.UNKNOWN : Execution.NOT_RUN, "no-instance", 0, 0));
+                return;
+            }
+            Peer peer = place.get();
+            tried.add(peer.getInfo().node());
+            sent++;
+            ForwardedRequest attempt = request.withTimeoutMs(Math.max(1, deadlineMs - loop.nowMs()));
+            if (peers.isSelf(peer)) {
+                cancelCurrent = gate.handle(attempt, answer -> onAnswer(peer, answer));
+            } else {
+                peer.getLoad().onSend();
+                cancelCurrent =
+                        peer.getLink().orElseThrow().forward(attempt, isIdempotent, answer -> onAnswer(peer, answer));
+            }
+        }
+
+        private Optional<Peer> choose() {
+            PeerService.Places places = peers.getPlaces(request.service());
+            peers.refreshOwnLoad();
+            return InstanceChoice.choose(
+                    untried(places.near()),
+                    untried(places.far()),
+                    loop.nowMs(),
+                    ThreadLocalRandom.current().nextLong());
+        }
+
+        private List<Peer> untried(List<Peer> places) {
+            if (tried.isEmpty()) {
+                return places;
+            }
+            List<Peer> left = new ArrayList<>();
+            for (Peer place : places) {
+                if (!tried.contains(place.getInfo().node())) {
+                    left.add(place);
+                }
+            }
+            return left;
+        }
+
+        private void onAnswer(Peer peer, ForwardedAnswer answer) {
+            if (isDone) {
+                return;
+            }
+            if (answer.limit() > 0 && !peers.isSelf(peer)) {
+                peer.getLoad().onReport(answer.limit(), answer.busy());
+            }
+            boolean isFailed = answer.isAnswered() ? answer.status() >= SERVER_ERROR : isInstanceFailure(answer);
+            peer.getLoad().onEnd(isFailed, loop.nowMs());
+            mayHaveRun |= answer.execution() != Execution.NOT_RUN;
+            if (!mayRepeat(answer)) {
+                finish(answer);
+                return;
+            }
+            if (log.tryRequest(loop.nowMs())) {
+                log.state("event=request-repeated request=" + request.requestId() + " service=" + request.service()
+                        + " from=" + peer.getInfo().node() + " reason=" + toReason(answer) + " execution="
+                        + answer.execution().toText() + " left-ms=" + (deadlineMs - loop.nowMs()));
+            }
+            next();
+        }
+
+        private boolean mayRepeat(ForwardedAnswer answer) {
+            boolean isSuccess = answer.isAnswered() && answer.status() < SERVER_ERROR;
+            boolean isSafe = isIdempotent || answer.execution() == Execution.NOT_RUN;
+            if (isSuccess || !isSafe || deadlineMs <= loop.nowMs() || !hasOther()) {
+                return false;
+            }
+            if (answer.isAnswered() && !request.isNested()) {
+                // A failed run at the root of a tree cost its whole tree; the caller decides whether to repeat it.
+                return false;
+            }
+            if (isUnseenByUpstream(answer)) {
+                redirects++;
+                return redirects <= MAX_REDIRECTS;
+            }
+            return sent < maxAttempts + redirects
+                    && getBudget(request.service()).tryRepeat(peers.countNodes());
+        }
+
+        private boolean hasOther() {
+            PeerService.Places places = peers.getPlaces(request.service());
+            return !untried(places.near()).isEmpty() || !untried(places.far()).isEmpty();
+        }
+
+        private void finish(ForwardedAnswer answer) {
+            isDone = true;
+            boolean isUncertain = mayHaveRun && answer.execution() == Execution.NOT_RUN;
+            callback.accept(
+                    isUncertain
+                            ? ForwardedAnswer.ofFailure(
+                                    Execution.UNKNOWN, answer.reason(), answer.limit(), answer.busy())
+                            : answer);
+        }
+    }
+
+    private static String toReason(ForwardedAnswer answer) {
+        return answer.isAnswered() ? "status-" + answer.status() : answer.reason();
+    }
+
+    /** Tells whether a refusal was decided before the upstream got the request. */
+    private static boolean isUnseenByUpstream(ForwardedAnswer answer) {
+        return answer.execution() == Execution.NOT_RUN
+                && !answer.reason().equals("rejected-by-upstream")
+                && !answer.reason().equals("upstream-replaced");
+    }
+
+    private static boolean isInstanceFailure(ForwardedAnswer answer) {
+        return !answer.reason().equals("overloaded")
+                && !answer.reason().equals("leaving")
+                && !answer.reason().equals("wrong-service");
+    }
+}
--- /dev/null
+++ b/mesh/src/main/java/io/cranberryarch/mesh/MeshNode.java
@@ -0,0 +1,214 @@
+package io.cranberryarch.mesh;
+
+import io.cranberryarch.base.Closer;
+import io.cranberryarch.context.HeaderField;
+import io.cranberryarch.context.PeerInfo;
+import io.cranberryarch.decision.serving.RouteCosts;
+import io.cranberryarch.net.EventLoop;
+import io.cranberryarch.net.HttpExchange;
+import io.cranberryarch.net.HttpLimits;
+import io.cranberryarch.net.HttpResponseMessage;
+import io.cranberryarch.net.HttpServer;
+import io.cranberryarch.settings.serving.RequestLimits;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+
+/**
+ * A node on a hosted platform, assembled from its parts.
+ *
+ * <pre>
+ * MeshNode node = new MeshNode(loop, settings, names, store, reader, log);
+ * node.start();
+ * loop.run();
+ * </pre>
+ */
+public final class MeshNode {
+
+    /** How long the entry takes connections after a stop began, until the platform has seen that it is not ready. */
+    private static final long STOP_ACCEPTING_AFTER_MS = 2_500;
+
+    /** The time before the end of the grace period at which what is left is cut. */
+    private static final long STOP_MARGIN_MS = 500;
+
+    private static final long STOP_CHECK_INTERVAL_MS = 50;
+    private static final long FIRST_STORE_RETRY_MS = 200;
+    private static final long MAX_STORE_RETRY_MS = 2_000;
+
+    private final EventLoop loop;
+    private final MeshSettings settings;
+    private final SharedStore store;
+    private final EventLog log;
+    private final Closer closer = new Closer();
+    private final UpstreamState upstream;
+    private final RulesService rules;
+    private final Gate gate;
+    private final PeerService peers;
+    private final EntryService entry;
+    private final MeshMetrics metrics = new MeshMetrics();
+    private final PeerInfo self;
+    private HttpServer entryServer;
+    private boolean isStopping;
+    private boolean isPeersRead;
+    private long storeRetryMs;
+
+    /**
+     * Creates a node that is not started.
+     *
+     * @param loop the loop on which it runs
+     * @param settings its settings
+     * @param names the header names of the platform
+     * @param store the platform's store
+     * @param reader reads the operators' document
+     * @param log the log
+     */
+    public MeshNode(
+            EventLoop loop,
+            MeshSettings settings,
+            HeaderNames names,
+            SharedStore store,
+            RulesReader reader,
+            EventLog log) {
+        this.loop = loop;
+        this.settings = settings;
+        this.store = store;
+        this.log = log;
+        this.self = new PeerInfo(settings.node(), settings.zone(), toText(settings.peers()));
+        upstream = new UpstreamState(loop, log);
+        rules = new RulesService(loop, store, reader, log);
+        gate = new Gate(loop, settings, names, upstream, log);
+        QuotaService quotas = new QuotaService(loop, settings);
+        long incarnation = System.currentTimeMillis();
+        peers = new PeerService(loop, self, incarnation, gate, upstream, rules, log, quotas::getDemandPerS);
+        Forwarder forwarder = new Forwarder(loop, settings, peers, gate, log);
+        RouteCosts costs = new RouteCosts();
+        ServiceLoads loads = new ServiceLoads(loop, peers, costs);
+        entry = new EntryService(
+                loop, settings, names, rules, peers, gate, forwarder, quotas, loads, costs, metrics, log);
+        rules.addListener(peers::broadcastStatus);
+        metrics.gauge("rules_version", rules::getVersion);
+        metrics.gauge("peers_connected", peers::countConnected);
+        metrics.gauge("requests_in_progress", entry::countInProgress);
+        metrics.gauge("gate_busy", gate::getBusy);
+        metrics.gauge("gate_waiting", gate::getWaiting);
+        metrics.gauge("gate_limit", gate::getLimit);
+    }
+
+    /**
+     * Gets the state of the upstream, which takes its reports.
+     *
+     * @return the state
+     */
+    public UpstreamState getUpstream() {
+        return upstream;
+    }
+
+    /**
+     * Binds the ports and begins to look for rules and peers. Called before the loop runs.
+     *
+     * @throws IOException if a port cannot be bound
+     */
+    public void start() throws IOException {
+        peers.start(settings.peers());
+        closer.add(peers);
+        entryServer = bind(settings.entry(), entry::onRequest);
+        bind(settings.ready(), this::onReadyQuestion);
+        bind(settings.metrics(), this::onMetrics);
+        rules.start();
+        register();
+        log.state("event=node-started node=" + settings.node() + " zone=" + settings.zone() + " service="
+                + settings.service() + " entry=" + toText(settings.entry()));
+    }
+
+    /** Stops gracefully: the loop ends once no request is in progress, or shortly before the grace period ends. */
+    public void stop() {
+        if (isStopping) {
+            return;
+        }
+        isStopping = true;
+        long startMs = loop.nowMs();
+        log.state("event=node-stopping in-progress=" + entry.countInProgress());
+        loop.schedule(STOP_ACCEPTING_AFTER_MS, () -> {
+            entryServer.close();
+            entryServer.closeConnectionsGracefully();
+        });
+        checkStopped(startMs);
+    }
+
+    /**
+     * Tells whether the node can serve requests.
+     *
+     * @return whether it is ready
+     */
+    public boolean isReady() {
+        return !isStopping && rules.getRules().isPresent() && isPeersRead;
+    }
+
+    private HttpServer bind(InetSocketAddress address, HttpServer.Handler handler) throws IOException {
+        return closer.add(HttpServer.bind(
+                loop,
+                address,
+                this::toLimits,
+                handler,
+                status -> log.state("event=request-malformed status=" + status)));
+    }
+
+    private HttpLimits toLimits() {
+        return rules.getRules().map(known -> toLimits(known.getLimits())).orElse(HttpLimits.DEFAULT);
+    }
+
+    private static HttpLimits toLimits(RequestLimits limits) {
+        return new HttpLimits(
+                limits.headerBytes(),
+                Math.min(limits.bodyBytes(), HttpLimits.DEFAULT.bodyBytes()),
+                limits.headerTimeoutMs(),
+                limits.idleTimeoutMs());
+    }
+
+    private void checkStopped(long startMs) {
+        long stoppingMs = loop.nowMs() - startMs;
+        boolean isIdle = stoppingMs > STOP_ACCEPTING_AFTER_MS + STOP_CHECK_INTERVAL_MS
+                && entry.countInProgress() == 0
+                && gate.getBusy() == 0;
+        if (isIdle || stoppingMs > settings.stopGraceMs() - STOP_MARGIN_MS) {
+            log.state("event=node-stopped in-progress=" + entry.countInProgress() + " took-ms=" + stoppingMs);
+            loop.close();
+            return;
+        }
+        loop.schedule(STOP_CHECK_INTERVAL_MS, () -> checkStopped(startMs));
+    }
+
+    private void register() {
+        store.register(self, SharedStore.Callback.of(done -> readPeers(), failure -> retryStore(this::register)));
+    }
+
+    private void readPeers() {
+        store.readPeers(SharedStore.Callback.of(
+                found -> {
+                    storeRetryMs = 0;
+                    isPeersRead = true;
+                    peers.learn(found);
+                },
+                failure -> retryStore(this::readPeers)));
+    }
+
+    private void retryStore(Runnable call) {
+        storeRetryMs = Math.min(MAX_STORE_RETRY_MS, Math.max(FIRST_STORE_RETRY_MS, storeRetryMs * 2));
+        loop.schedule(storeRetryMs / 2 + Math.round(Math.random() * storeRetryMs / 2), call);
+    }
+
+    private void onReadyQuestion(HttpExchange exchange) {
+        boolean isReady = isReady() || (!isStopping && rules.getRules().isPresent() && peers.countConnected() > 0);
+        exchange.respond(HttpResponseMessage.ofEmpty(isReady ? 200 : 503));
+    }
+
+    private void onMetrics(HttpExchange exchange) {
+        byte[] body = metrics.toText().getBytes(StandardCharsets.UTF_8);
+        exchange.respond(new HttpResponseMessage(200, List.of(new HeaderField("Content-Type", "text/plain")), body));
+    }
+
+    private static String toText(InetSocketAddress address) {
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
+}
--- /dev/null
+++ b/mesh/src/main/java/io/cranberryarch/mesh/MeshSettings.java
@@ -0,0 +1,101 @@
+package io.cranberryarch.mesh;
+
+import io.cranberryarch.settings.IniFile;
+import io.cranberryarch.settings.SettingsException;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * The settings of a node on a hosted platform, read from its INI file.
+ *
+ * @param node the name of the node
+ * @param zone its availability zone
+ * @param service the service of the upstream on its machine
+ * @param entry the address for callers and for the upstream's own calls
+ * @param peers the address for other nodes
+ * @param ready the address that the platform asks whether the node is ready
+ * @param control the address for reports of the upstream
+ * @param metrics the address of the metrics
+ * @param upstream the address of the upstream
+ * @param store the address of the platform's store
+ * @param seeds addresses of nodes to ask first, maybe none
+ * @param stopGraceMs the time from SIGTERM to SIGKILL, in milliseconds
+ * @param repeatRatio repeated sends for each first send, over the fleet
+ * @param repeatSlack repeated sends beyond the ratio, over the fleet and a window
+ * @param quotaWindowMs the window in which rates of client accounts are judged, in milliseconds
+ * @param quotaExcessRatio the tolerated excess over a rate, as a part of it
+ * @param quotaExcess the tolerated excess over a rate, in requests
+ * @param logLinesPerS the most lines of the log about requests, a second
+ */
+public record MeshSettings(
+        String node,
+        String zone,
+        String service,
+        InetSocketAddress entry,
+        InetSocketAddress peers,
+        InetSocketAddress ready,
+        InetSocketAddress control,
+        InetSocketAddress metrics,
+        InetSocketAddress upstream,
+        InetSocketAddress store,
+        List<InetSocketAddress> seeds,
+        long stopGraceMs,
+        double repeatRatio,
+        double repeatSlack,
+        long quotaWindowMs,
+        double quotaExcessRatio,
+        double quotaExcess,
+        int logLinesPerS) {
+
+    private static final String NAME = "[A-Za-z0-9][A-Za-z0-9._-]{0,62}";
+    private static final String NUMBER = "\\d{1,9}(\\.\\d{1,9})?";
+    private static final int MAX_LOG_LINES_PER_S = 100_000;
+    private static final int MS_PER_S = 1_000;
+
+    /** Copies the list. */
+    public MeshSettings {
+        seeds = List.copyOf(seeds);
+    }
+
+    /**
+     * Reads a file.
+     *
+     * @param file the INI file, not {@code null}
+     * @return the settings
+     * @throws IOException if the file cannot be read
+     * @throws SettingsException listing every fault with its section, key, line and what is allowed
+     */
+    public static MeshSettings read(Path file) throws IOException, SettingsException {
+        IniFile ini = IniFile.read(file);
+        MeshSettings settings = new MeshSettings(
+                ini.takeText("node", "name", Optional.empty(), NAME),
+                ini.takeText("node", "zone", Optional.empty(), NAME),
+                ini.takeText("node", "service", Optional.empty(), NAME),
+                ini.takeAddress("listen", "entry"),
+                ini.takeAddress("listen", "peers"),
+                ini.takeAddress("listen", "ready"),
+                ini.takeAddress("listen", "control"),
+                ini.takeAddress("listen", "metrics"),
+                ini.takeAddress("upstream", "address"),
+                ini.takeAddress("store", "address"),
+                ini.takeAddresses("peers", "seeds"),
+                Math.round(takeNumber(ini, "stop", "grace-s", "6") * MS_PER_S),
+                takeNumber(ini, "repeats", "ratio", "0.2"),
+                takeNumber(ini, "repeats", "slack", "50"),
+                Math.round(takeNumber(ini, "rates", "window-s", "5") * MS_PER_S),
+                takeNumber(ini, "rates", "excess-ratio", "0.1"),
+                takeNumber(ini, "rates", "excess", "20"),
+                ini.takeInt("log", "lines-per-s", Optional.of(50), 1, MAX_LOG_LINES_PER_S));
+        ini.rejectUnknown();
+        ini.throwFaults();
+        return settings;
+    }
+
+    private static double takeNumber(IniFile ini, String section, String key, String fallback) {
+        String text = ini.takeText(section, key, Optional.of(fallback), NUMBER);
+        return text.matches(NUMBER) ? Double.parseDouble(text) : 0;
+    }
+}
--- /dev/null
+++ b/mesh/src/main/java/io/cranberryarch/mesh/Peer.java
@@ -0,0 +1,112 @@
+package io.cranberryarch.mesh;
+
+import io.cranberryarch.context.PeerInfo;
+import io.cranberryarch.decision.serving.InstanceChoice;
+import io.cranberryarch.decision.serving.InstanceLoad;
+import io.cranberryarch.wire.PeerStatusMessage;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+
+/** What a node knows of another node, or of itself as a place to run requests. */
+final class Peer implements InstanceChoice.Candidate {
+
+    private PeerInfo info;
+    private InstanceLoad load = new InstanceLoad();
+    private Optional<PeerLink> link = Optional.empty();
+    private String instance = "";
+    private String service = "";
+    private boolean isAccepting;
+    private long rulesVersion = -1;
+    private Map<String, Double> demandPerS = new HashMap<>();
+    private boolean isDialing;
+    private long backoffMs;
+    private long lostAtMs;
+
+    Peer(PeerInfo info) {
+        this.info = info;
+    }
+
+    @Override
+    public InstanceLoad getLoad() {
+        return load;
+    }
+
+    /** Takes a status and tells whether the upstream changed. */
+    boolean onStatus(PeerStatusMessage status, long nowMs) {
+        boolean isChanged = !instance.equals(status.instance())
+                || !service.equals(status.service())
+                || isAccepting != status.isAccepting();
+        if (!instance.equals(status.instance())) {
+            load = new InstanceLoad();
+        }
+        instance = status.instance();
+        service = status.service();
+        isAccepting = status.isAccepting();
+        rulesVersion = Math.max(rulesVersion, status.rulesVersion());
+        demandPerS = status.demandPerS();
+        load.onReport(status.limit(), status.busy());
+        load.setColdUntilMs(nowMs + status.coldLeftMs());
+        return isChanged;
+    }
+
+    PeerInfo getInfo() {
+        return info;
+    }
+
+    void setInfo(PeerInfo newInfo) {
+        info = newInfo;
+    }
+
+    Optional<PeerLink> getLink() {
+        return link;
+    }
+
+    void setLink(Optional<PeerLink> newLink) {
+        link = newLink;
+    }
+
+    boolean isUsable() {
+        return isAccepting && link.map(PeerLink::isUsable).orElse(false);
+    }
+
+    String getInstance() {
+        return instance;
+    }
+
+    String getService() {
+        return service;
+    }
+
+    long getRulesVersion() {
+        return rulesVersion;
+    }
+
+    double getDemandPerS(String account) {
+        return demandPerS.getOrDefault(account, 0.0);
+    }
+
+    boolean isDialing() {
+        return isDialing;
+    }
+
+    void setDialing(boolean dialing) {
+        isDialing = dialing;
+    }
+
+    long getBackoffMs() {
+        return backoffMs;
+    }
+
+    void setBackoffMs(long newBackoffMs) {
+        backoffMs = newBackoffMs;
+    }
+
+    long getLostAtMs() {
+        return lostAtMs;
+    }
+
+    void setLostAtMs(long atMs) {
+        lostAtMs = atMs;
+    }
+}
--- /dev/null
+++ b/mesh/src/main/java/io/cranberryarch/mesh/PeerLink.java
@@ -0,0 +1,239 @@
+package io.cranberryarch.mesh;
+
+import io.cranberryarch.context.Execution;
+import io.cranberryarch.context.ForwardedAnswer;
+import io.cranberryarch.context.ForwardedRequest;
+import io.cranberryarch.net.EventLoop;
+import io.cranberryarch.net.TcpConnection;
+import io.cranberryarch.wire.CancelMessage;
+import io.cranberryarch.wire.ForwardAnswerMessage;
+import io.cranberryarch.wire.ForwardMessage;
+import io.cranberryarch.wire.Frame;
+import io.cranberryarch.wire.FrameCodec;
+import io.cranberryarch.wire.MalformedFrameException;
+import io.cranberryarch.wire.Message;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.tinylog.Logger;
+
+/** A connection to another node, with the requests that are under way on it in both directions. */
+final class PeerLink implements TcpConnection.Handler {
+
+    private static final int FIRST_BUFFER_BYTES = 4 * 1024;
+
+    /** Bytes that may wait for a peer that does not read before it counts as unusable. */
+    private static final long MAX_UNSENT_BYTES = 4 * 1024 * 1024;
+
+    private final EventLoop loop;
+    private final PeerService service;
+    private final boolean isDialer;
+    private final Map<Long, Pending> pending = new HashMap<>();
+    private final Map<Long, Runnable> serving = new HashMap<>();
+    private TcpConnection connection;
+    private ByteBuffer received = ByteBuffer.allocate(FIRST_BUFFER_BYTES);
+    private Optional<Peer> peer = Optional.empty();
+    private long incarnation;
+    private long nextId = 1;
+    private long heardAtMs;
+    private boolean isSilent;
+    private boolean isConnected;
+
+    private PeerLink(EventLoop loop, PeerService service, boolean isDialer) {
+        this.loop = loop;
+        this.service = service;
+        this.isDialer = isDialer;
+        this.heardAtMs = loop.nowMs();
+    }
+
+    static PeerLink dial(EventLoop loop, PeerService service, Peer peer) {
+        PeerLink link = new PeerLink(loop, service, true);
+        link.peer = Optional.of(peer);
+        link.connection = TcpConnection.connect(loop, PeerService.toAddress(peer.getInfo()), link);
+        return link;
+    }
+
+    static PeerLink accept(EventLoop loop, PeerService service, TcpConnection connection) {
+        PeerLink link = new PeerLink(loop, service, false);
+        link.connection = connection;
+        link.isConnected = true;
+        return link;
+    }
+
+    boolean isDialer() {
+        return isDialer;
+    }
+
+    boolean isConnected() {
+        return isConnected;
+    }
+
+    /** Tells whether new requests may be sent: the peer was heard of lately and takes what is sent. */
+    boolean isUsable() {
+        return !isSilent && !connection.isClosed() && connection.getUnsentBytes() < MAX_UNSENT_BYTES;
+    }
+
+    boolean isClosed() {
+        return connection.isClosed();
+    }
+
+    boolean hasPending() {
+        return !pending.isEmpty() || !serving.isEmpty();
+    }
+
+    long getSilentMs() {
+        return loop.nowMs() - heardAtMs;
+    }
+
+    Optional<Peer> getPeer() {
+        return peer;
+    }
+
+    void setPeer(Peer newPeer) {
+        peer = Optional.of(newPeer);
+    }
+
+    long getIncarnation() {
+        return incarnation;
+    }
+
+    void setIncarnation(long newIncarnation) {
+        incarnation = newIncarnation;
+    }
+
+    void send(Message message) {
+        send(0, message);
+    }
+
+    /** Forwards a request and returns what gives it up. */
+    Runnable forward(ForwardedRequest request, boolean isRepeatable, Consumer<ForwardedAnswer> callback) {
+        long id = nextId++;
+        pending.put(id, new Pending(isRepeatable, callback));
+        send(id, new ForwardMessage(request));
+        return () -> {
+            if (pending.remove(id) != null) {
+                send(id, new CancelMessage());
+            }
+        };
+    }
+
+    /** Ends the repeatable requests of a peer that is silent; answers to the others may still come. */
+    void onSilent() {
+        isSilent = true;
+        List<Long> repeatable = new ArrayList<>();
+        pending.forEach((id, request) -> {
+            if (request.isRepeatable) {
+                repeatable.add(id);
+            }
+        });
+        for (long id : repeatable) {
+            Pending request = pending.remove(id);
+            send(id, new CancelMessage());
+            request.callback.accept(ForwardedAnswer.ofFailure(Execution.UNKNOWN, "peer-silent", 0, 0));
+        }
+    }
+
+    void close() {
+        connection.close();
+    }
+
+    @Override
+    public void onConnected() {
+        isConnected = true;
+        heardAtMs = loop.nowMs();
+        service.onLinkUp(this);
+    }
+
+    @Override
+    public void onData(ByteBuffer bytes) {
+        heardAtMs = loop.nowMs();
+        if (isSilent) {
+            isSilent = false;
+            service.onHeardAgain(this);
+        }
+        append(bytes);
+        received.flip();
+        try {
+            for (Optional<Frame> frame = FrameCodec.decode(received);
+                    frame.isPresent() && !connection.isClosed();
+                    frame = FrameCodec.decode(received)) {
+                onFrame(frame.get());
+            }
+        } catch (MalformedFrameException e) {
+            Logger.warn("event=peer-frame-malformed cause=\"{}\"", e.getMessage());
+            connection.close();
+        }
+        received.compact();
+    }
+
+    @Override
+    public void onClosed(Optional<IOException> failure) {
+        List<Pending> lost = new ArrayList<>(pending.values());
+        pending.clear();
+        List<Runnable> abandoned = new ArrayList<>(serving.values());
+        serving.clear();
+        service.onLinkDown(this, failure.map(IOException::getMessage).orElse("closed"));
+        for (Runnable cancel : abandoned) {
+            cancel.run();
+        }
+        Execution execution = isConnected ? Execution.UNKNOWN : Execution.NOT_RUN;
+        for (Pending request : lost) {
+            request.callback.accept(ForwardedAnswer.ofFailure(execution, "peer-lost", 0, 0));
+        }
+    }
+
+    private void append(ByteBuffer bytes) {
+        if (received.remaining() < bytes.remaining()) {
+            int needed = received.position() + bytes.remaining();
+            ByteBuffer larger = ByteBuffer.allocate(Math.max(needed, received.capacity() * 2));
+            received = larger.put(received.flip());
+        }
+        received.put(bytes);
+    }
+
+    private void onFrame(Frame frame) {
+        switch (frame.message().getType()) {
+            case FORWARD -> serve(frame.id(), ((ForwardMessage) frame.message()).request());
+            case FORWARD_ANSWER -> {
+                Pending request = pending.remove(frame.id());
+                if (request != null) {
+                    request.callback.accept(((ForwardAnswerMessage) frame.message()).answer());
+                }
+            }
+            case CANCEL -> {
+                Runnable cancel = serving.remove(frame.id());
+                if (cancel != null) {
+                    cancel.run();
+                }
+            }
+            default -> service.onMessage(this, frame.message());
+        }
+    }
+
+    private void serve(long id, ForwardedRequest request) {
+        serving.put(id, () -> {});
+        Runnable cancel = service.getGate().handle(request, answer -> {
+            if (serving.remove(id) != null) {
+                send(id, new ForwardAnswerMessage(answer));
+            }
+        });
+        serving.replace(id, cancel);
+    }
+
+    private void send(long id, Message message) {
+        try {
+            connection.write(FrameCodec.encode(new Frame(id, message)));
+        } catch (IOException e) {
+            Logger.error(e, "event=peer-frame-too-large type={}", message.getType());
+            connection.close();
+        }
+    }
+
+    /** A forwarded request that waits for its outcome. */
+    private record Pending(boolean isRepeatable, Consumer<ForwardedAnswer> callback) {}
+}
--- /dev/null
+++ b/mesh/src/main/java/io/cranberryarch/mesh/RulesReader.java
@@ -0,0 +1,18 @@
+package io.cranberryarch.mesh;
+
+import io.cranberryarch.settings.SettingsException;
+import io.cranberryarch.settings.serving.ServingRules;
+
+/** Reads the operators' document. */
+@FunctionalInterface
+public interface RulesReader {
+
+    /**
+     * Reads a document.
+     *
+     * @param document the document as the platform keeps it
+     * @return the rules
+     * @throws SettingsException if the document is malformed
+     */
+    ServingRules read(byte[] document) throws SettingsException;
+}
--- /dev/null
+++ b/mesh/src/main/java/io/cranberryarch/mesh/UpstreamState.java
@@ -0,0 +1,143 @@
+package io.cranberryarch.mesh;
+
+import io.cranberryarch.net.EventLoop;
+import java.util.ArrayList;
+import java.util.List;
+
+/** What the node believes of the upstream on its machine, from the upstream's own reports. */
+public final class UpstreamState {
+
+    private final EventLoop loop;
+    private final EventLog log;
+    private final List<Runnable> listeners = new ArrayList<>();
+    private String instance = "";
+    private String service = "";
+    private long startedAtMs;
+    private long sequence;
+    private int slots;
+    private boolean isLeaving;
+    private boolean isReachable;
+    private long coldUntilMs;
+    private long reportedAtMs;
+
+    /**
+     * Creates a state that knows no upstream.
+     *
+     * @param loop the loop
+     * @param log the log
+     */
+    public UpstreamState(EventLoop loop, EventLog log) {
+        this.loop = loop;
+        this.log = log;
+    }
+
+    /**
+     * Adds what to do when the upstream appears, leaves or changes.
+     *
+     * @param listener the action
+     */
+    public void addListener(Runnable listener) {
+        listeners.add(listener);
+    }
+
+    /**
+     * Takes a report of the upstream. Reports that are older than what is known are ignored.
+     *
+     * @param report the report
+     */
+    public void onReport(UpstreamReport report) {
+        boolean isNewInstance = !report.instance().equals(instance) || report.startedAtMs() > startedAtMs;
+        if (isNewInstance && report.startedAtMs() < startedAtMs) {
+            log.state("event=report-ignored reason=older-incarnation instance=" + report.instance() + " started-at-ms="
+                    + report.startedAtMs() + " known-instance=" + instance + " known-started-at-ms=" + startedAtMs);
+            return;
+        }
+        if (!isNewInstance && (report.startedAtMs() < startedAtMs || report.sequence() <= sequence)) {
+            log.state("event=report-ignored reason=older-sequence instance=" + report.instance() + " sequence="
+                    + report.sequence() + " known-sequence=" + sequence);
+            return;
+        }
+        boolean isChanged = isNewInstance || isLeaving != report.isLeaving() || slots != report.slots() || !isReachable;
+        instance = report.instance();
+        service = report.service();
+        startedAtMs = report.startedAtMs();
+        sequence = report.sequence();
+        slots = report.slots();
+        // Leaving is final for an incarnation, also if a later report says otherwise.
+        isLeaving = report.isLeaving() || (isLeaving && !isNewInstance);
+        isReachable = true;
+        reportedAtMs = loop.nowMs();
+        coldUntilMs = reportedAtMs + report.coldLeftMs();
+        if (isChanged) {
+            changed(isNewInstance ? "new-incarnation" : "report");
+        }
+    }
+
+    /**
+     * Notes that an incarnation is about to end.
+     *
+     * @param leaving the identifier of the incarnation
+     * @param leavingStartedAtMs its start, in milliseconds since 1970, 0 if unknown
+     */
+    public void onLeave(String leaving, long leavingStartedAtMs) {
+        if (!leaving.equals(instance) || (leavingStartedAtMs > 0 && leavingStartedAtMs < startedAtMs)) {
+            log.state("event=leave-ignored instance=" + leaving + " known-instance=" + instance);
+            return;
+        }
+        if (!isLeaving) {
+            isLeaving = true;
+            changed("deregistered");
+        }
+    }
+
+    void onReplaced() {
+        if (isReachable) {
+            isReachable = false;
+            changed("another-instance-answered");
+        }
+    }
+
+    void onUnreachable(String cause) {
+        if (isReachable) {
+            isReachable = false;
+            changed("unreachable:" + cause.replace(' ', '-'));
+        }
+    }
+
+    boolean isKnown() {
+        return !instance.isEmpty();
+    }
+
+    boolean isAccepting() {
+        return isKnown() && !isLeaving && isReachable;
+    }
+
+    boolean isLeaving() {
+        return isLeaving;
+    }
+
+    String getInstance() {
+        return instance;
+    }
+
+    String getService() {
+        return service;
+    }
+
+    int getSlots() {
+        return slots;
+    }
+
+    long getColdLeftMs() {
+        return Math.max(0, coldUntilMs - loop.nowMs());
+    }
+
+    private void changed(String reason) {
+        log.state("event=upstream-changed reason=" + reason + " instance=" + instance + " service=" + service
+                + " slots=" + slots + " leaving=" + isLeaving + " reachable=" + isReachable + " sequence=" + sequence
+                + " cold-left-ms=" + getColdLeftMs());
+        for (Runnable listener : listeners) {
+            listener.run();
+        }
+    }
+}
--- /dev/null
+++ b/net/src/main/java/io/cranberryarch/net/TcpConnection.java
@@ -0,0 +1,320 @@
+package io.cranberryarch.net;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.ByteBuffer;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.SocketChannel;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Optional;
+
+/** A TCP connection on an event loop. Used from the loop's thread only. */
+public final class TcpConnection implements EventLoop.Selectable {
+
+    private static final int MAX_BUFFERS_A_WRITE = 64;
+    private static final int MAX_READS_A_ROUND = 4;
+
+    private final EventLoop loop;
+    private final SocketChannel channel;
+    private final Handler handler;
+    private final Deque<ByteBuffer> unsent = new ArrayDeque<>();
+    private SelectionKey key;
+    private long unsentBytes;
+    private boolean isFlushPending;
+    private boolean isClosingAfterFlush;
+    private boolean isReading = true;
+    private boolean isConnected;
+    private boolean isClosed;
+
+    private TcpConnection(EventLoop loop, SocketChannel channel, Handler handler) {
+        this.loop = loop;
+        this.channel = channel;
+        this.handler = handler;
+    }
+
+    /**
+     * Begins to connect. The handler learns the outcome, never from within this call.
+     *
+     * @param loop the loop, not {@code null}
+     * @param address the address of the peer
+     * @param handler what happens on the connection
+     * @return the connection
+     */
+    public static TcpConnection connect(EventLoop loop, InetSocketAddress address, Handler handler) {
+        SocketChannel channel = null;
+        try {
+            channel = SocketChannel.open();
+            channel.configureBlocking(false);
+            channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
+            TcpConnection connection = new TcpConnection(loop, channel, handler);
+            channel.connect(address);
+            connection.key = channel.register(loop.getSelector(), SelectionKey.OP_CONNECT, connection);
+            return connection;
+        } catch (IOException e) {
+            TcpConnection connection = new TcpConnection(loop, channel, handler);
+            loop.execute(() -> connection.close(Optional.of(e)));
+            return connection;
+        }
+    }
+
+    static TcpConnection ofAccepted(EventLoop loop, SocketChannel channel, HandlerFactory factory) throws IOException {
+        channel.configureBlocking(false);
+        channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
+        DelegatingHandler handler = new DelegatingHandler();
+        TcpConnection connection = new TcpConnection(loop, channel, handler);
+        connection.isConnected = true;
+        connection.key = channel.register(loop.getSelector(), SelectionKey.OP_READ, connection);
+        handler.target = factory.create(connection);
+        return connection;
+    }
+
+    /**
+     * Writes bytes at the end of the current round of the loop.
+     *
+     * @param bytes the bytes, not changed afterwards by the caller
+     */
+    public void write(ByteBuffer bytes) {
+        if (isClosed || isClosingAfterFlush) {
+            return;
+        }
+        unsent.add(bytes);
+        unsentBytes += bytes.remaining();
+        if (isConnected && !isFlushPending) {
+            isFlushPending = true;
+            loop.flushLater(this);
+        }
+    }
+
+    /**
+     * Counts the bytes that wait to be sent.
+     *
+     * @return the number of bytes
+     */
+    public long getUnsentBytes() {
+        return unsentBytes;
+    }
+
+    /** Closes the connection once all bytes are sent. */
+    public void closeAfterFlush() {
+        if (isClosed) {
+            return;
+        }
+        isClosingAfterFlush = true;
+        if (unsent.isEmpty()) {
+            close();
+        }
+    }
+
+    /** Closes the connection at once. The handler is told. */
+    public void close() {
+        close(Optional.empty());
+    }
+
+    /**
+     * Tells whether the connection is closed.
+     *
+     * @return whether it is closed
+     */
+    public boolean isClosed() {
+        return isClosed;
+    }
+
+    /**
+     * Stops or resumes reading.
+     *
+     * @param reading whether bytes are read
+     */
+    public void setReading(boolean reading) {
+        if (isClosed || isReading == reading) {
+            return;
+        }
+        isReading = reading;
+        updateInterest();
+    }
+
+    @Override
+    public void onReady() {
+        if (!key.isValid()) {
+            return;
+        }
+        if (key.isConnectable()) {
+            finishConnect();
+        } else {
+            if (key.isReadable()) {
+                read();
+            }
+            if (!isClosed && key.isWritable()) {
+                flush();
+            }
+        }
+    }
+
+    void flush() {
+        isFlushPending = false;
+        if (isClosed) {
+            return;
+        }
+        try {
+            while (!unsent.isEmpty()) {
+                if (unsent.size() == 1) {
+                    channel.write(unsent.peek());
+                } else {
+                    channel.write(unsent.toArray(new ByteBuffer[0]), 0, Math.min(unsent.size(), MAX_BUFFERS_A_WRITE));
+                }
+                boolean isAnySent = false;
+                while (!unsent.isEmpty() && !unsent.peek().hasRemaining()) {
+                    unsent.poll();
+                    isAnySent = true;
+                }
+                if (!isAnySent || (!unsent.isEmpty() && unsent.peek().position() > 0)) {
+                    break;
+                }
+            }
+        } catch (IOException e) {
+            close(Optional.of(e));
+            return;
+        }
+        countUnsent();
+        if (unsent.isEmpty() && isClosingAfterFlush) {
+            close();
+            return;
+        }
+        updateInterest();
+    }
+
+    private void countUnsent() {
+        unsentBytes = 0;
+        for (ByteBuffer buffer : unsent) {
+            unsentBytes += buffer.remaining();
+        }
+    }
+
+    private void finishConnect() {
+        try {
+            channel.finishConnect();
+        } catch (IOException e) {
+            close(Optional.of(e));
+            return;
+        }
+        isConnected = true;
+        updateInterest();
+        handler.onConnected();
+        if (!unsent.isEmpty()) {
+            flush();
+        }
+    }
+
+    private void read() {
+        ByteBuffer buffer = loop.getReadBuffer();
+        for (int i = 0; i < MAX_READS_A_ROUND && !isClosed && isReading; i++) {
+            buffer.clear();
+            int count;
+            try {
+                count = channel.read(buffer);
+            } catch (IOException e) {
+                close(Optional.of(e));
+                return;
+            }
+            if (count < 0) {
+                handler.onEnd();
+                close();
+                return;
+            }
+            if (count == 0) {
+                return;
+            }
+            buffer.flip();
+            handler.onData(buffer);
+            if (count < buffer.capacity()) {
+                return;
+            }
+        }
+    }
+
+    private void updateInterest() {
+        if (!isConnected || !key.isValid()) {
+            return;
+        }
+        int interest = (isReading ? SelectionKey.OP_READ : 0) | (unsent.isEmpty() ? 0 : SelectionKey.OP_WRITE);
+        if (key.interestOps() != interest) {
+            key.interestOps(interest);
+        }
+    }
+
+    private void close(Optional<IOException> failure) {
+        if (isClosed) {
+            return;
+        }
+        isClosed = true;
+        unsent.clear();
+        unsentBytes = 0;
+        if (channel != null) {
+            try {
+                channel.close();
+            } catch (IOException e) {
+                org.tinylog.Logger.debug(e, "event=close-failed");
+            }
+        }
+        handler.onClosed(failure);
+    }
+
+    /** What happens on a connection. */
+    public interface Handler {
+
+        /** The connection that was begun is established. */
+        default void onConnected() {}
+
+        /**
+         * Bytes have arrived.
+         *
+         * @param bytes the bytes, valid during the call only
+         */
+        void onData(ByteBuffer bytes);
+
+        /** The peer has ended its stream; the connection is closed next. */
+        default void onEnd() {}
+
+        /**
+         * The connection is closed, by either side.
+         *
+         * @param failure the failure, or empty if it was closed in order
+         */
+        void onClosed(Optional<IOException> failure);
+    }
+
+    /** Creates the handlers of accepted connections. */
+    @FunctionalInterface
+    public interface HandlerFactory {
+
+        /**
+         * Creates a handler.
+         *
+         * @param connection the accepted connection
+         * @return its handler
+         */
+        Handler create(TcpConnection connection);
+    }
+
+    /** A handler that is known only after the connection exists. */
+    private static final class DelegatingHandler implements Handler {
+
+        private Handler target;
+
+        @Override
+        public void onData(ByteBuffer bytes) {
+            target.onData(bytes);
+        }
+
+        @Override
+        public void onEnd() {
+            target.onEnd();
+        }
+
+        @Override
+        public void onClosed(Optional<IOException> failure) {
+            target.onClosed(failure);
+        }
+    }
+}
--- a/node/src/main/java/io/cranberryarch/node/config/SettingsCommits.java
+++ b/node/src/main/java/io/cranberryarch/node/config/SettingsCommits.java
@@ -1,14 +1,14 @@
 package io.cranberryarch.node.config;
 
 import io.cranberryarch.base.Clock;
-import io.cranberryarch.platform.PlatformException;
-import io.cranberryarch.platform.SettingsLog;
 import io.cranberryarch.settings.FleetSettings;
 import io.cranberryarch.settings.SettingChange;
 import io.cranberryarch.settings.SettingEdit;
 import io.cranberryarch.settings.SettingLimits;
 import io.cranberryarch.settings.SettingTree;
 import io.cranberryarch.settings.SettingsException;
+import io.cranberryarch.store.PlatformException;
+import io.cranberryarch.store.SettingsLog;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
--- a/node/src/main/java/io/cranberryarch/node/config/WithdrawalService.java
+++ b/node/src/main/java/io/cranberryarch/node/config/WithdrawalService.java
@@ -2,8 +2,8 @@
 
 import io.cranberryarch.decision.key.WithdrawnKeys;
 import io.cranberryarch.node.metrics.NodeMetrics;
-import io.cranberryarch.platform.PlatformException;
-import io.cranberryarch.platform.WithdrawalStore;
+import io.cranberryarch.store.PlatformException;
+import io.cranberryarch.store.WithdrawalStore;
 import java.util.Collection;
 import java.util.List;
 import java.util.Set;
--- a/node/src/main/java/io/cranberryarch/node/lease/LeaseTable.java
+++ b/node/src/main/java/io/cranberryarch/node/lease/LeaseTable.java
@@ -4,10 +4,10 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.cranberryarch.decision.lease.LeaseRecord;
 import io.cranberryarch.decision.lease.LeaseWrite;
-import io.cranberryarch.platform.PlatformException;
-import io.cranberryarch.platform.Row;
-import io.cranberryarch.platform.TableStore;
-import io.cranberryarch.platform.Transaction;
+import io.cranberryarch.store.PlatformException;
+import io.cranberryarch.store.Row;
+import io.cranberryarch.store.TableStore;
+import io.cranberryarch.store.Transaction;
 import java.util.Optional;
 
 /** Reads and writes the rows of leases. Thread-safe; blocks. */
--- a/node/src/main/java/io/cranberryarch/node/report/Increment.java
+++ b/node/src/main/java/io/cranberryarch/node/report/Increment.java
@@ -2,7 +2,7 @@
 
 import io.cranberryarch.api.ApiJson;
 import io.cranberryarch.api.Outcome;
-import io.cranberryarch.platform.PlatformException;
+import io.cranberryarch.store.PlatformException;
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
--- a/node/src/main/java/io/cranberryarch/node/report/IncrementQueue.java
+++ b/node/src/main/java/io/cranberryarch/node/report/IncrementQueue.java
@@ -1,8 +1,8 @@
 package io.cranberryarch.node.report;
 
 import io.cranberryarch.node.NodeIdentity;
-import io.cranberryarch.platform.ObjectStore;
-import io.cranberryarch.platform.PlatformException;
+import io.cranberryarch.store.ObjectStore;
+import io.cranberryarch.store.PlatformException;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
--- a/node/src/test/java/io/cranberryarch/node/FleetFixture.java
+++ b/node/src/test/java/io/cranberryarch/node/FleetFixture.java
@@ -2,8 +2,6 @@
 
 import io.cranberryarch.base.Closer;
 import io.cranberryarch.base.Digests;
-import io.cranberryarch.platform.PlatformException;
-import io.cranberryarch.platform.SettingsLog;
 import io.cranberryarch.settings.NodeConfig;
 import io.cranberryarch.settings.SettingChange;
 import io.cranberryarch.settings.SettingEdit;
@@ -11,6 +9,8 @@
 import io.cranberryarch.settings.SettingsException;
 import io.cranberryarch.standin.PlatformStandin;
 import io.cranberryarch.standin.UpstreamStandin;
+import io.cranberryarch.store.PlatformException;
+import io.cranberryarch.store.SettingsLog;
 import java.net.InetSocketAddress;
 import java.net.URI;
 import java.util.ArrayList;
--- a/node/src/test/java/io/cranberryarch/node/config/SettingsServiceTest.java
+++ b/node/src/test/java/io/cranberryarch/node/config/SettingsServiceTest.java
@@ -5,11 +5,11 @@
 
 import io.cranberryarch.base.ManualClock;
 import io.cranberryarch.node.metrics.NodeMetrics;
-import io.cranberryarch.platform.PlatformException;
-import io.cranberryarch.platform.Row;
-import io.cranberryarch.platform.TableStore;
-import io.cranberryarch.platform.Transaction;
 import io.cranberryarch.standin.MemoryPlatform;
+import io.cranberryarch.store.PlatformException;
+import io.cranberryarch.store.Row;
+import io.cranberryarch.store.TableStore;
+import io.cranberryarch.store.Transaction;
 import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
--- a/node/src/test/java/io/cranberryarch/node/report/CountsReporterTest.java
+++ b/node/src/test/java/io/cranberryarch/node/report/CountsReporterTest.java
@@ -8,7 +8,7 @@
 import io.cranberryarch.api.Outcome;
 import io.cranberryarch.base.ManualClock;
 import io.cranberryarch.node.NodeIdentity;
-import io.cranberryarch.platform.PlatformException;
+import io.cranberryarch.store.PlatformException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
--- a/node/src/test/java/io/cranberryarch/node/report/FaultyPlatform.java
+++ b/node/src/test/java/io/cranberryarch/node/report/FaultyPlatform.java
@@ -1,11 +1,11 @@
 package io.cranberryarch.node.report;
 
-import io.cranberryarch.platform.ObjectStore;
-import io.cranberryarch.platform.PlatformException;
-import io.cranberryarch.platform.Row;
-import io.cranberryarch.platform.TableStore;
-import io.cranberryarch.platform.Transaction;
 import io.cranberryarch.standin.MemoryPlatform;
+import io.cranberryarch.store.ObjectStore;
+import io.cranberryarch.store.PlatformException;
+import io.cranberryarch.store.Row;
+import io.cranberryarch.store.TableStore;
+import io.cranberryarch.store.Transaction;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
--- a/settings/src/main/java/io/cranberryarch/settings/IniFile.java
+++ b/settings/src/main/java/io/cranberryarch/settings/IniFile.java
@@ -195,6 +195,21 @@
         return addresses;
     }
 
+    /**
+     * Takes one address {@code host:port}.
+     *
+     * @param section the section
+     * @param key the key
+     * @return the address; meaningless after a fault
+     */
+    public InetSocketAddress takeAddress(String section, String key) {
+        Optional<InetSocketAddress> address = toAddress(takeText(section, key, Optional.empty(), ".*"));
+        if (address.isEmpty()) {
+            addFault(section, key, "an address IP:PORT");
+        }
+        return address.orElse(new InetSocketAddress(0));
+    }
+
     /**
      * Parses an address.
      *
--- /dev/null
+++ b/settings/src/main/java/io/cranberryarch/settings/serving/ServingRules.java
@@ -0,0 +1,156 @@
+package io.cranberryarch.settings.serving;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeSet;
+
+/**
+ * One version of the rules for requests, with look-ups by host, path and key.
+ *
+ * <pre>
+ * Optional&lt;ServingRoute&gt; route = rules.findRoute("shop.example", "/orders/17");
+ * </pre>
+ */
+public final class ServingRules {
+
+    private final long version;
+    private final Map<String, List<ServingRoute>> routesByHost = new HashMap<>();
+    private final List<ServingRoute> routes;
+    private final Map<String, ServiceRule> services = new HashMap<>();
+    private final Map<String, AccountRule> accountsByKey = new HashMap<>();
+    private final List<AccountRule> accounts;
+    private final RequestLimits limits;
+    private final List<Integer> ranks;
+
+    /**
+     * Creates a version.
+     *
+     * @param version the version, which only grows
+     * @param routes all routes
+     * @param services all services
+     * @param accounts all client accounts
+     * @param limits the limits of callers
+     */
+    public ServingRules(
+            long version,
+            List<ServingRoute> routes,
+            List<ServiceRule> services,
+            List<AccountRule> accounts,
+            RequestLimits limits) {
+        this.version = version;
+        this.routes = List.copyOf(routes);
+        this.accounts = List.copyOf(accounts);
+        this.limits = limits;
+        TreeSet<Integer> distinctRanks = new TreeSet<>();
+        for (ServingRoute route : routes) {
+            routesByHost
+                    .computeIfAbsent(toHostKey(route.host()), unused -> new ArrayList<>())
+                    .add(route);
+            distinctRanks.add(route.rank());
+        }
+        routesByHost
+                .values()
+                .forEach(list -> list.sort(Comparator.comparingInt(
+                        (ServingRoute route) -> -route.prefix().length())));
+        for (ServiceRule service : services) {
+            this.services.put(service.name(), service);
+        }
+        for (AccountRule account : accounts) {
+            account.keys().forEach(key -> accountsByKey.put(key, account));
+            account.rank().ifPresent(distinctRanks::add);
+        }
+        this.ranks = List.copyOf(distinctRanks);
+    }
+
+    /**
+     * Gets the version.
+     *
+     * @return the version
+     */
+    public long getVersion() {
+        return version;
+    }
+
+    /**
+     * Finds the route of a request: the longest prefix of its host wins.
+     *
+     * @param host the host as the caller named it, with or without a port
+     * @param path the path without its query
+     * @return the route, or empty
+     */
+    public Optional<ServingRoute> findRoute(String host, String path) {
+        for (ServingRoute route : routesByHost.getOrDefault(toHostKey(host), List.of())) {
+            if (path.startsWith(route.prefix())) {
+                return Optional.of(route);
+            }
+        }
+        return Optional.empty();
+    }
+
+    /**
+     * Finds the client account of a key.
+     *
+     * @param key the key
+     * @return the account, or empty if nobody holds the key
+     */
+    public Optional<AccountRule> findAccount(String key) {
+        return Optional.ofNullable(accountsByKey.get(key));
+    }
+
+    /**
+     * Finds a service.
+     *
+     * @param name its name
+     * @return what is set for it, or empty
+     */
+    public Optional<ServiceRule> findService(String name) {
+        return Optional.ofNullable(services.get(name));
+    }
+
+    /**
+     * Gets all routes.
+     *
+     * @return the routes, unmodifiable
+     */
+    public List<ServingRoute> getRoutes() {
+        return routes;
+    }
+
+    /**
+     * Gets all client accounts.
+     *
+     * @return the accounts, unmodifiable
+     */
+    public List<AccountRule> getAccounts() {
+        return accounts;
+    }
+
+    /**
+     * Gets the limits of callers.
+     *
+     * @return the limits
+     */
+    public RequestLimits getLimits() {
+        return limits;
+    }
+
+    /**
+     * Gets the ranks that are in use.
+     *
+     * @return the distinct ranks, most important first
+     */
+    public List<Integer> getRanks() {
+        return ranks;
+    }
+
+    private static String toHostKey(String host) {
+        int port = host.lastIndexOf(':');
+        String name = port >= 0 && host.indexOf(']', port) < 0 ? host.substring(0, port) : host;
+        return name.toLowerCase(Locale.ROOT);
+    }
+}
--- a/standin/src/main/java/io/cranberryarch/standin/MemoryPlatform.java
+++ b/standin/src/main/java/io/cranberryarch/standin/MemoryPlatform.java
@@ -1,9 +1,9 @@
 package io.cranberryarch.standin;
 
-import io.cranberryarch.platform.ObjectStore;
-import io.cranberryarch.platform.Row;
-import io.cranberryarch.platform.TableStore;
-import io.cranberryarch.platform.Transaction;
+import io.cranberryarch.store.ObjectStore;
+import io.cranberryarch.store.Row;
+import io.cranberryarch.store.TableStore;
+import io.cranberryarch.store.Transaction;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.NavigableMap;
--- a/standin/src/main/java/io/cranberryarch/standin/PlatformStandin.java
+++ b/standin/src/main/java/io/cranberryarch/standin/PlatformStandin.java
@@ -1,9 +1,9 @@
 package io.cranberryarch.standin;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
-import io.cranberryarch.platform.PlatformJson;
-import io.cranberryarch.platform.Row;
-import io.cranberryarch.platform.Transaction;
+import io.cranberryarch.store.PlatformJson;
+import io.cranberryarch.store.Row;
+import io.cranberryarch.store.Transaction;
 import java.io.IOException;
 import java.net.URI;
 import java.nio.ByteBuffer;
--- a/platform/src/main/java/io/cranberryarch/platform/ObjectStore.java
+++ b/store/src/main/java/io/cranberryarch/store/ObjectStore.java
@@ -1,4 +1,4 @@
-package io.cranberryarch.platform;
+package io.cranberryarch.store;
 
 import java.util.List;
 import java.util.Optional;
--- a/platform/src/main/java/io/cranberryarch/platform/PlatformException.java
+++ b/store/src/main/java/io/cranberryarch/store/PlatformException.java
@@ -1,4 +1,4 @@
-package io.cranberryarch.platform;
+package io.cranberryarch.store;
 
 /** Thrown when the platform's store gives no answer. A write may have taken effect all the same. */
 public final class PlatformException extends Exception {
--- a/platform/src/main/java/io/cranberryarch/platform/Row.java
+++ b/store/src/main/java/io/cranberryarch/store/Row.java
@@ -1,4 +1,4 @@
-package io.cranberryarch.platform;
+package io.cranberryarch.store;
 
 /**
  * A row of the table.
--- a/platform/src/main/java/io/cranberryarch/platform/SettingsLog.java
+++ b/store/src/main/java/io/cranberryarch/store/SettingsLog.java
@@ -1,4 +1,4 @@
-package io.cranberryarch.platform;
+package io.cranberryarch.store;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import io.cranberryarch.settings.SettingChange;
--- a/platform/src/main/java/io/cranberryarch/platform/SettingsSnapshots.java
+++ b/store/src/main/java/io/cranberryarch/store/SettingsSnapshots.java
@@ -1,4 +1,4 @@
-package io.cranberryarch.platform;
+package io.cranberryarch.store;
 
 import io.cranberryarch.base.Digests;
 import io.cranberryarch.settings.SettingTree;
--- a/platform/src/main/java/io/cranberryarch/platform/WithdrawalStore.java
+++ b/store/src/main/java/io/cranberryarch/store/WithdrawalStore.java
@@ -1,4 +1,4 @@
-package io.cranberryarch.platform;
+package io.cranberryarch.store;
 
 import java.util.ArrayList;
 import java.util.Collection;
--- /dev/null
+++ b/store/src/main/java/io/cranberryarch/store/package-info.java
@@ -0,0 +1,2 @@
+/** Clients of the platform's transactional table and object store, behind narrow interfaces. */
+package io.cranberryarch.store;
--- a/wire/src/main/java/io/cranberryarch/wire/Fields.java
+++ b/wire/src/main/java/io/cranberryarch/wire/Fields.java
@@ -3,7 +3,9 @@
 import io.cranberryarch.context.HeaderField;
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.msgpack.core.MessagePacker;
 import org.msgpack.core.MessageUnpacker;
@@ -65,6 +67,26 @@
         return headers;
     }
 
+    static void writeAmounts(MessagePacker packer, Map<String, Double> amounts) throws IOException {
+        packer.packMapHeader(amounts.size());
+        for (Map.Entry<String, Double> entry : amounts.entrySet()) {
+            packer.packString(entry.getKey());
+            packer.packFloat(entry.getValue().floatValue());
+        }
+    }
+
+    static Map<String, Double> readAmounts(MessageUnpacker unpacker) throws IOException {
+        int count = unpacker.unpackMapHeader();
+        if (count > MAX_ITEMS) {
+            throw new MalformedFrameException("map of " + count + " items is too large");
+        }
+        Map<String, Double> amounts = new HashMap<>();
+        for (int i = 0; i < count; i++) {
+            amounts.put(unpacker.unpackString(), (double) unpacker.unpackFloat());
+        }
+        return amounts;
+    }
+
     static <E extends Enum<E>> E readEnum(MessageUnpacker unpacker, E[] values) throws IOException {
         int ordinal = unpacker.unpackInt();
         if (ordinal < 0 || ordinal >= values.length) {
--- /dev/null
+++ b/wire/src/main/java/io/cranberryarch/wire/ForwardAnswerMessage.java
@@ -0,0 +1,46 @@
+package io.cranberryarch.wire;
+
+import io.cranberryarch.context.Execution;
+import io.cranberryarch.context.ForwardedAnswer;
+import java.io.IOException;
+import org.msgpack.core.MessagePacker;
+import org.msgpack.core.MessageUnpacker;
+
+/**
+ * The outcome of a forwarded request.
+ *
+ * @param answer the outcome
+ */
+public record ForwardAnswerMessage(ForwardedAnswer answer) implements Message {
+
+    private static final Execution[] EXECUTIONS = Execution.values();
+
+    static ForwardAnswerMessage read(MessageUnpacker in) throws IOException {
+        return new ForwardAnswerMessage(new ForwardedAnswer(
+                Fields.readEnum(in, EXECUTIONS),
+                in.unpackString(),
+                in.unpackInt(),
+                Fields.readHeaders(in),
+                Fields.readBytes(in),
+                Fields.readAmounts(in),
+                in.unpackInt(),
+                in.unpackInt()));
+    }
+
+    @Override
+    public MessageType getType() {
+        return MessageType.FORWARD_ANSWER;
+    }
+
+    @Override
+    public void write(MessagePacker out) throws IOException {
+        out.packInt(answer.execution().ordinal());
+        out.packString(answer.reason());
+        out.packInt(answer.status());
+        Fields.writeHeaders(out, answer.headers());
+        Fields.writeBytes(out, answer.body());
+        Fields.writeAmounts(out, answer.usedMs());
+        out.packInt(answer.limit());
+        out.packInt(answer.busy());
+    }
+}
--- a/wire/src/main/java/io/cranberryarch/wire/MessageType.java
+++ b/wire/src/main/java/io/cranberryarch/wire/MessageType.java
@@ -37,7 +37,19 @@
     /** Answers a request for tokens. */
     TOKEN_ANSWER(21, TokenAnswerMessage::read),
     /** Asks to send no more requests on this connection. */
-    GO_AWAY(30, GoAwayMessage::read);
+    GO_AWAY(30, GoAwayMessage::read),
+    /** First message in both directions between nodes on a hosted platform. */
+    PEER_HELLO(50, PeerHelloMessage::read),
+    /** What a node says of its upstream and of itself. */
+    PEER_STATUS(51, PeerStatusMessage::read),
+    /** A request for the upstream of the receiver, on a hosted platform. */
+    FORWARD(52, ForwardMessage::read),
+    /** The outcome of a forwarded request. */
+    FORWARD_ANSWER(53, ForwardAnswerMessage::read),
+    /** Asks a node for the rules that it follows. */
+    RULES_REQUEST(54, RulesRequestMessage::read),
+    /** The operators' document with the rules. */
+    RULES(55, RulesMessage::read);
 
     private static final MessageType[] BY_CODE = new MessageType[64];
 
--- /dev/null
+++ b/wire/src/main/java/io/cranberryarch/wire/PeerStatusMessage.java
@@ -0,0 +1,59 @@
+package io.cranberryarch.wire;
+
+import java.io.IOException;
+import java.util.Map;
+import org.msgpack.core.MessagePacker;
+import org.msgpack.core.MessageUnpacker;
+
+/**
+ * What a node says of its upstream and of itself, at regular intervals and at each change.
+ *
+ * @param instance the identifier of the upstream's incarnation, empty if the node knows none
+ * @param service the service of the upstream
+ * @param isAccepting whether it takes new requests
+ * @param limit requests that it runs at once at most
+ * @param busy requests that run or wait there
+ * @param coldLeftMs how long it stays slow after its start, in milliseconds
+ * @param rulesVersion the version of the rules that the node follows, -1 if it knows none
+ * @param demandPerS requests a second that callers of the node ask for, by client account
+ */
+public record PeerStatusMessage(
+        String instance,
+        String service,
+        boolean isAccepting,
+        int limit,
+        int busy,
+        long coldLeftMs,
+        long rulesVersion,
+        Map<String, Double> demandPerS)
+        implements Message {
+
+    static PeerStatusMessage read(MessageUnpacker in) throws IOException {
+        return new PeerStatusMessage(
+                in.unpackString(),
+                in.unpackString(),
+                in.unpackBoolean(),
+                in.unpackInt(),
+                in.unpackInt(),
+                in.unpackLong(),
+                in.unpackLong(),
+                Fields.readAmounts(in));
+    }
+
+    @Override
+    public MessageType getType() {
+        return MessageType.PEER_STATUS;
+    }
+
+    @Override
+    public void write(MessagePacker out) throws IOException {
+        out.packString(instance);
+        out.packString(service);
+        out.packBoolean(isAccepting);
+        out.packInt(limit);
+        out.packInt(busy);
+        out.packLong(coldLeftMs);
+        out.packLong(rulesVersion);
+        Fields.writeAmounts(out, demandPerS);
+    }
+}
