Free repeats of a large fleet stay within the fleet's slack, with tests of the serving decisions

Now a node starts with its part, which may be less than one, and earns the rest from its first sends.

--- a/decision/src/main/java/io/cranberryarch/decision/serving/RepeatBudget.java
+++ b/decision/src/main/java/io/cranberryarch/decision/serving/RepeatBudget.java
@@ -55,10 +55,14 @@
     }
 
     private double getTokens(int nodes) {
-        return isStarted ? tokens : toCap(nodes);
+        return isStarted ? tokens : toFree(nodes);
     }
 
     private double toCap(int nodes) {
-        return Math.max(1, SAVED_PART * slack / Math.max(1, nodes));
+        return Math.max(1, toFree(nodes));
+    }
+
+    private double toFree(int nodes) {
+        return SAVED_PART * slack / Math.max(1, nodes);
     }
 }
--- /dev/null
+++ b/decision/src/test/java/io/cranberryarch/decision/serving/LoadSheddingTest.java
@@ -0,0 +1,29 @@
+package io.cranberryarch.decision.serving;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.DoubleRange;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+class LoadSheddingTest {
+
+    @Test
+    void nothingIsRefusedBelowTheFirstLoad() {
+        assertEquals(0, LoadShedding.toRefusedShare(0.5, 2, 3));
+    }
+
+    @Property(tries = 500, seed = "31")
+    void aRankIsTouchedOnlyWhenAllLessImportantOnesAreRefused(
+            @ForAll @DoubleRange(max = 3) double load,
+            @ForAll @IntRange(min = 2, max = 6) int ranks,
+            @ForAll @IntRange(min = 0, max = 4) int position) {
+        int upper = Math.min(position, ranks - 2);
+        if (LoadShedding.toRefusedShare(load, upper, ranks) > 0) {
+            assertTrue(LoadShedding.toRefusedShare(load, upper + 1, ranks) >= 0.999);
+        }
+    }
+}
