--- a/context/src/main/java/io/cranberryarch/context/ForwardedRequest.java
+++ b/context/src/main/java/io/cranberryarch/context/ForwardedRequest.java
@@ -10,6 +10,7 @@
  * @param tree the route of the request at the root of its call tree
  * @param rank the importance of the root, 0 for the most important
  * @param isNested whether an upstream made it while it ran another request
+ * @param isRepeat whether it was sent before, or belongs to a run that is itself a repeat
  * @param timeoutMs the time left for its answer, in milliseconds
  * @param method the method
  * @param target path and query
@@ -24,6 +25,7 @@
         String tree,
         int rank,
         boolean isNested,
+        boolean isRepeat,
         long timeoutMs,
         String method,
         String target,
@@ -32,13 +34,25 @@
         boolean hasBody) {
 
     /**
-     * Creates a copy with another timeout.
+     * Creates the copy that is sent in one attempt.
      *
      * @param leftMs the time left in milliseconds
+     * @param isAgain whether the request was sent before
      * @return the copy
      */
-    public ForwardedRequest withTimeoutMs(long leftMs) {
+    public ForwardedRequest toAttempt(long leftMs, boolean isAgain) {
         return new ForwardedRequest(
-                requestId, service, tree, rank, isNested, leftMs, method, target, headers, body, hasBody);
+                requestId,
+                service,
+                tree,
+                rank,
+                isNested,
+                isRepeat || isAgain,
+                leftMs,
+                method,
+                target,
+                headers,
+                body,
+                hasBody);
     }
 }
--- a/decision/src/main/java/io/cranberryarch/decision/serving/AccountQuota.java
+++ b/decision/src/main/java/io/cranberryarch/decision/serving/AccountQuota.java
@@ -67,6 +67,13 @@
         return true;
     }
 
+    /** Gives the token of a request back that did not run. */
+    public void giveBack() {
+        tokens++;
+        fleetTokens++;
+        admitted--;
+    }
+
     /**
      * Notes what another node admitted.
      *
--- a/decision/src/main/java/io/cranberryarch/decision/serving/InstanceLoad.java
+++ b/decision/src/main/java/io/cranberryarch/decision/serving/InstanceLoad.java
@@ -10,12 +10,11 @@
     /** A cold upstream works at about half of its speed. */
     private static final double COLD_SHARE = 0.5;
 
+    private final FailureShare failures = new FailureShare(FAILURE_WEIGHT, FAILURE_HALF_LIFE_MS);
     private int limit = 1;
     private int reported;
     private int sentSinceReport;
     private long coldUntilMs;
-    private double failureShare;
-    private long failureAtMs;
 
     /**
      * Notes what the instance reported of itself.
@@ -46,13 +45,11 @@
     /**
      * Notes the end of a request.
      *
-     * @param isFailed whether the upstream failed it or gave no answer
+     * @param isFailed whether it did not get through to an answer of the upstream
      * @param nowMs the time in milliseconds
      */
     public void onEnd(boolean isFailed, long nowMs) {
-        failureShare = getFailureShare(nowMs);
-        failureAtMs = nowMs;
-        failureShare += FAILURE_WEIGHT * ((isFailed ? 1 : 0) - failureShare);
+        failures.record(isFailed, nowMs);
     }
 
     /**
@@ -62,7 +59,7 @@
      * @return a share from 0 to 1, which fades while nothing is sent
      */
     public double getFailureShare(long nowMs) {
-        return failureShare * Math.pow(0.5, (nowMs - failureAtMs) / FAILURE_HALF_LIFE_MS);
+        return failures.get(nowMs);
     }
 
     /**
--- a/decision/src/main/java/io/cranberryarch/decision/serving/LatencyEstimate.java
+++ b/decision/src/main/java/io/cranberryarch/decision/serving/LatencyEstimate.java
@@ -17,13 +17,16 @@
     private double meanMs;
     private double deviationMs;
     private int count;
+    private boolean isLeaf;
 
     /**
      * Notes a successful answer.
      *
      * @param tookMs how long it took, in milliseconds
+     * @param hasNoCalls whether its run made no calls of its own
      */
-    public void record(double tookMs) {
+    public void record(double tookMs, boolean hasNoCalls) {
+        isLeaf = hasNoCalls;
         if (count == 0) {
             meanMs = tookMs;
         }
@@ -32,6 +35,15 @@
         meanMs += NEWEST_WEIGHT * (tookMs - meanMs);
     }
 
+    /**
+     * Tells whether such requests make no calls of their own.
+     *
+     * @return whether the last one made none
+     */
+    public boolean isLeaf() {
+        return isLeaf;
+    }
+
     /**
      * Gets the mean.
      *
--- a/decision/src/main/java/io/cranberryarch/decision/serving/LoadShedding.java
+++ b/decision/src/main/java/io/cranberryarch/decision/serving/LoadShedding.java
@@ -2,14 +2,15 @@
 
 /**
  * Decides which share of new requests is refused at their entry while a service that they need is overloaded. The least
- * important rank is refused first, and wholly before the next one is touched.
+ * important rank is refused first, and wholly before the next one is touched; inside a rank, new requests are refused
+ * before those that were refused earlier and came back.
  */
 public final class LoadShedding {
 
     /** The load of a service, as busy requests by its limit, from which the least important rank is refused. */
     private static final double FIRST_LOAD = 0.82;
 
-    /** The additional load over which a rank goes from no refusals to refusals only. */
+    /** The additional load over which a rank goes from no refusals to refusals only, half of it for new requests. */
     private static final double RANK_BAND = 0.18;
 
     private LoadShedding() {}
@@ -20,10 +21,12 @@
      * @param load requests that run or wait at a service, by the sum of the limits of its instances
      * @param position the position of the rank among those in use, 0 for the most important
      * @param ranks the number of ranks in use, at least 1
+     * @param isReturning whether the request was refused before and came back when it was told to
      * @return a share from 0 to 1
      */
-    public static double toRefusedShare(double load, int position, int ranks) {
+    public static double toRefusedShare(double load, int position, int ranks, boolean isReturning) {
         double start = FIRST_LOAD + RANK_BAND * Math.max(0, ranks - 1 - position);
-        return Math.max(0, Math.min(1, (load - start) / RANK_BAND));
+        double width = RANK_BAND / 2;
+        return Math.max(0, Math.min(1, (load - start - (isReturning ? width : 0)) / width));
     }
 }
--- a/decision/src/test/java/io/cranberryarch/decision/serving/LatencyEstimateTest.java
+++ b/decision/src/test/java/io/cranberryarch/decision/serving/LatencyEstimateTest.java
@@ -10,7 +10,7 @@
     @Test
     void nothingIsOverdueBeforeEnoughIsKnown() {
         LatencyEstimate estimate = new LatencyEstimate();
-        estimate.record(10);
+        estimate.record(10, true);
         assertEquals(Long.MAX_VALUE, estimate.toOverdueMs());
     }
 
@@ -18,7 +18,7 @@
     void overdueLiesFarAboveTheUsualTime() {
         LatencyEstimate estimate = new LatencyEstimate();
         for (int i = 0; i < 200; i++) {
-            estimate.record(i % 2 == 0 ? 20 : 40);
+            estimate.record(i % 2 == 0 ? 20 : 40, true);
         }
         assertEquals(30, estimate.getMeanMs(), 3);
         assertTrue(estimate.toOverdueMs() >= 85 && estimate.toOverdueMs() <= 120, "" + estimate.toOverdueMs());
--- a/decision/src/test/java/io/cranberryarch/decision/serving/LoadSheddingTest.java
+++ b/decision/src/test/java/io/cranberryarch/decision/serving/LoadSheddingTest.java
@@ -13,7 +13,7 @@
 
     @Test
     void nothingIsRefusedBelowTheFirstLoad() {
-        assertEquals(0, LoadShedding.toRefusedShare(0.5, 2, 3));
+        assertEquals(0, LoadShedding.toRefusedShare(0.5, 2, 3, false));
     }
 
     @Property(tries = 500, seed = "31")
@@ -22,8 +22,15 @@
             @ForAll @IntRange(min = 2, max = 6) int ranks,
             @ForAll @IntRange(min = 0, max = 4) int position) {
         int upper = Math.min(position, ranks - 2);
-        if (LoadShedding.toRefusedShare(load, upper, ranks) > 0) {
-            assertTrue(LoadShedding.toRefusedShare(load, upper + 1, ranks) >= 0.999);
+        if (LoadShedding.toRefusedShare(load, upper, ranks, false) > 0) {
+            assertTrue(LoadShedding.toRefusedShare(load, upper + 1, ranks, true) >= 0.999);
         }
     }
+
+    @Test
+    void newRequestsAreRefusedBeforeThoseThatCameBack() {
+        double load = 0.9;
+        assertTrue(LoadShedding.toRefusedShare(load, 2, 3, false) > 0.8);
+        assertEquals(0, LoadShedding.toRefusedShare(load, 2, 3, true));
+    }
 }
--- a/decision/src/test/java/io/cranberryarch/decision/serving/RepeatBudgetTest.java
+++ b/decision/src/test/java/io/cranberryarch/decision/serving/RepeatBudgetTest.java
@@ -1,10 +1,12 @@
 package io.cranberryarch.decision.serving;
 
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
 
 class RepeatBudgetTest {
 
@@ -18,9 +20,9 @@
         for (int node = 0; node < nodes; node++) {
             RepeatBudget budget = new RepeatBudget(RATIO, SLACK);
             for (int i = 0; i < firstSends; i++) {
-                budget.onFirstSend(nodes);
+                budget.onFirstSend(nodes, 10L * i);
                 // Each first send fails and asks for repeats until it is refused one.
-                while (budget.tryRepeat(nodes)) {
+                while (budget.tryRepeat(nodes, 0, 10L * i)) {
                     repeats++;
                 }
             }
@@ -28,4 +30,28 @@
         double allowed = RATIO * nodes * firstSends + SLACK;
         assertTrue(repeats <= allowed, repeats + " repeats, " + allowed + " allowed");
     }
+
+    @Test
+    void callsOfRepeatedRunsCountAgainstTheService() {
+        RepeatBudget budget = new RepeatBudget(RATIO, SLACK);
+        for (int i = 0; i < 1_000; i++) {
+            budget.onFirstSend(1, 10L * i);
+        }
+        for (int i = 0; i < 60; i++) {
+            budget.onRepeatedRun(1, 10_000);
+        }
+        assertFalse(budget.tryRepeat(1, 0, 10_000));
+    }
+
+    @Test
+    void importantRequestsMayRepeatWhenOthersMayNotAnyMore() {
+        RepeatBudget budget = new RepeatBudget(RATIO, SLACK);
+        for (int i = 0; i < 1_000; i++) {
+            budget.onFirstSend(1, 10L * i);
+        }
+        while (budget.tryRepeat(1, 2, 10_000)) {
+            // Takes all that this rank may take.
+        }
+        assertTrue(budget.tryRepeat(1, 0, 10_000));
+    }
 }
--- a/mesh/src/main/java/io/cranberryarch/mesh/EntryService.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/EntryService.java
@@ -4,6 +4,7 @@
 import io.cranberryarch.context.ForwardedAnswer;
 import io.cranberryarch.context.ForwardedRequest;
 import io.cranberryarch.context.HeaderField;
+import io.cranberryarch.decision.serving.ReturningCallers;
 import io.cranberryarch.decision.serving.RouteCosts;
 import io.cranberryarch.net.EventLoop;
 import io.cranberryarch.net.HttpExchange;
@@ -15,6 +16,7 @@
 import io.cranberryarch.settings.serving.ServingRules;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -60,6 +62,7 @@
     private final MeshMetrics metrics;
     private final EventLog log;
     private final Set<String> droppedHeaders;
+    private final ReturningCallers returns = new ReturningCallers();
     private final Map<String, Long> splitCounters = new HashMap<>();
     private int inProgress;
 
@@ -153,16 +156,17 @@
                 refuse(401, "key-rejected", 0);
                 return;
             }
-            Optional<Long> overRateMs = account.flatMap(charged -> quotas.charge(charged, peers));
-            if (overRateMs.isPresent()) {
-                refuse(429, "over-rate", overRateMs.get());
-                return;
-            }
             service = pickService(route.get());
             int rank = toRank(route.get());
             if (parent.isEmpty() && shed(known.get(), route.get(), rank)) {
                 return;
             }
+            // Charged last, so that no token is spent on a request that is refused for another reason.
+            Optional<Long> overRateMs = account.flatMap(charged -> quotas.charge(charged, peers));
+            if (overRateMs.isPresent()) {
+                refuse(429, "over-rate", overRateMs.get());
+                return;
+            }
             forward(route.get(), rank, leftMs);
         }
 
@@ -203,14 +207,25 @@
         }
 
         private boolean shed(ServingRules known, ServingRoute target, int rank) {
-            Optional<ServiceLoads.Overload> overload = loads.findOverload(target.name(), service, rank, known);
+            long caller = toCallerMark();
+            boolean isReturning = returns.isReturning(caller, startMs);
+            Optional<ServiceLoads.Overload> overload =
+                    loads.findOverload(target.name(), service, rank, isReturning, known);
             if (overload.isEmpty()) {
                 return false;
             }
-            refuse(503, "overload-of-" + overload.get().service(), toOverloadRetryAfterMs());
+            long retryAfterMs = toOverloadRetryAfterMs();
+            returns.onRefused(caller, startMs, startMs + retryAfterMs);
+            refuse(503, "overload-of-" + overload.get().service(), retryAfterMs);
             return true;
         }
 
+        /** A mark by which a refused request is known when its caller sends it again under another identifier. */
+        private long toCallerMark() {
+            String key = account.map(AccountRule::name).orElse("");
+            return key.hashCode() * 31L + request.target().hashCode() + ((long) Arrays.hashCode(request.body()) << 32);
+        }
+
         private long toOverloadRetryAfterMs() {
             return ThreadLocalRandom.current().nextLong(MIN_OVERLOAD_RETRY_AFTER_MS, MAX_OVERLOAD_RETRY_AFTER_MS);
         }
@@ -226,6 +241,7 @@
                     tree,
                     rank,
                     parent.isPresent(),
+                    parent.map(run -> run.getRequest().isRepeat()).orElse(false),
                     leftMs,
                     request.method(),
                     request.target(),
@@ -249,6 +265,7 @@
             if (answer.isAnswered()) {
                 respond(new HttpResponseMessage(answer.status(), answer.headers(), answer.body()), "answered");
             } else if (answer.execution() == Execution.NOT_RUN) {
+                account.ifPresent(quotas::giveBack);
                 long retryAfterMs =
                         answer.reason().equals("overloaded") ? toOverloadRetryAfterMs() : UNAVAILABLE_RETRY_AFTER_MS;
                 refuse(503, answer.reason(), retryAfterMs);
@@ -300,6 +317,9 @@
             isDone = true;
             inProgress--;
             timeout.ifPresent(EventLoop.Timer::cancel);
+            if (status == 0 || status >= 400) {
+                parent.ifPresent(Gate.Run::onCallFailed);
+            }
             long tookMs = loop.nowMs() - startMs;
             String routeName = route.map(ServingRoute::name).orElse("none");
             metrics.record(routeName, outcome, status, tookMs);
--- a/mesh/src/main/java/io/cranberryarch/mesh/Forwarder.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/Forwarder.java
@@ -58,7 +58,12 @@
      */
     Attempts send(ForwardedRequest request, boolean isIdempotent, int maxAttempts, Consumer<ForwardedAnswer> callback) {
         Attempts attempts = new Attempts(request, isIdempotent, maxAttempts, callback);
-        getBudget(request.service()).onFirstSend(peers.countNodes());
+        RepeatBudget budget = getBudget(request.service());
+        if (request.isRepeat()) {
+            budget.onRepeatedRun(peers.countNodes(), loop.nowMs());
+        } else {
+            budget.onFirstSend(peers.countNodes(), loop.nowMs());
+        }
         attempts.next();
         return attempts;
     }
@@ -120,7 +125,7 @@
             tried.add(peer.getInfo().node());
             int number = ++sent;
             long startMs = loop.nowMs();
-            ForwardedRequest attempt = request.withTimeoutMs(Math.max(1, deadlineMs - startMs));
+            ForwardedRequest attempt = request.toAttempt(Math.max(1, deadlineMs - startMs), number > 1);
             underWay.put(number, () -> {});
             Runnable cancel;
             if (peers.isSelf(peer)) {
@@ -137,7 +142,9 @@
         /** Sends an idempotent request once more if its answer is overdue; the first answer counts. */
         private void watchOverdue() {
             long overdueMs = latency.toOverdueMs();
-            boolean isUseful = isIdempotent && sent < maxAttempts && overdueMs < deadlineMs - loop.nowMs();
+            // A run that makes calls of its own would make them again.
+            boolean isUseful =
+                    isIdempotent && latency.isLeaf() && sent < maxAttempts && overdueMs < deadlineMs - loop.nowMs();
             if (isDone || !isUseful || overdue.isPresent()) {
                 return;
             }
@@ -190,11 +197,11 @@
             if (answer.limit() > 0 && !peers.isSelf(peer)) {
                 peer.getLoad().onReport(answer.limit(), answer.busy());
             }
-            boolean isFailed = answer.isAnswered() ? answer.status() >= SERVER_ERROR : isInstanceFailure(answer);
-            peer.getLoad().onEnd(isFailed, loop.nowMs());
+            peer.getLoad().onEnd(!answer.isAnswered() && isInstanceFailure(answer), loop.nowMs());
             mayHaveRun |= answer.execution() != Execution.NOT_RUN;
             if (answer.isAnswered() && answer.status() < SERVER_ERROR) {
-                latency.record((double) (loop.nowMs() - startMs));
+                latency.record(
+                        (double) (loop.nowMs() - startMs), answer.usedMs().size() <= 1);
             } else if (!underWay.isEmpty()) {
                 // Another attempt may still succeed.
                 return;
@@ -215,7 +222,7 @@
         }
 
         private boolean tryRepeat() {
-            return getBudget(request.service()).tryRepeat(peers.countNodes());
+            return getBudget(request.service()).tryRepeat(peers.countNodes(), request.rank(), loop.nowMs());
         }
 
         private boolean mayRepeat(ForwardedAnswer answer) {
@@ -233,7 +240,7 @@
                 return redirects <= MAX_REDIRECTS;
             }
             return sent < maxAttempts + redirects
-                    && getBudget(request.service()).tryRepeat(peers.countNodes());
+                    && getBudget(request.service()).tryRepeat(peers.countNodes(), request.rank(), loop.nowMs());
         }
 
         private boolean hasOther() {
@@ -264,7 +271,9 @@
     }
 
     private static boolean isInstanceFailure(ForwardedAnswer answer) {
+        // The gate itself counts what its upstream rejects, and reports a lower limit for it.
         return !answer.reason().equals("overloaded")
+                && !answer.reason().equals("rejected-by-upstream")
                 && !answer.reason().equals("leaving")
                 && !answer.reason().equals("wrong-service");
     }
--- a/mesh/src/main/java/io/cranberryarch/mesh/Gate.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/Gate.java
@@ -4,6 +4,7 @@
 import io.cranberryarch.context.ForwardedAnswer;
 import io.cranberryarch.context.ForwardedRequest;
 import io.cranberryarch.context.HeaderField;
+import io.cranberryarch.decision.serving.FailureShare;
 import io.cranberryarch.decision.serving.RankQueue;
 import io.cranberryarch.decision.serving.RunRegistry;
 import io.cranberryarch.net.EventLoop;
@@ -31,6 +32,19 @@
     /** The part of the slots kept free for new connections and health checks, which hold a slot for a moment. */
     private static final double RESERVED_PART = 0.05;
 
+    /** The weight of the newest outcome in the upstream's share of failures, and how long a failure is remembered. */
+    private static final double FAILURE_WEIGHT = 0.05;
+
+    private static final double FAILURE_HALF_LIFE_MS = 3_000;
+
+    /** The share of failures below which an upstream counts as sound. */
+    private static final double SOUND_SHARE = 0.08;
+
+    /** How much of its room an upstream loses with its share of failures, and what it keeps in any case. */
+    private static final double LOST_ROOM_PER_FAILURE = 1.6;
+
+    private static final double LEAST_ROOM = 0.1;
+    private static final int SERVER_ERROR = 500;
     private static final int MAX_BODY_BYTES = 16 * 1024 * 1024;
     private static final long MAX_IDLE_CONNECTION_MS = 8_000;
 
@@ -47,6 +61,7 @@
     private final RankQueue<Run> waiting = new RankQueue<>();
     private final RunRegistry<Run> registry = new RunRegistry<>();
     private final Set<Run> running = new HashSet<>();
+    private final FailureShare failures = new FailureShare(FAILURE_WEIGHT, FAILURE_HALF_LIFE_MS);
     private final UpstreamState upstream;
     private double durationMs = FIRST_DURATION_MS;
     private long lastRunAtMs;
@@ -98,9 +113,16 @@
         return !running.isEmpty() || loop.nowMs() - lastRunAtMs < 1_000;
     }
 
+    /**
+     * Gets the number of requests that the upstream runs at once: its slots but for a reserve, fewer while it fails a
+     * part of its requests. An upstream that fails fast looks idle and would draw all requests otherwise.
+     */
     int getLimit() {
         int slots = upstream.getSlots();
-        return Math.max(1, slots - Math.max(1, (int) Math.round(slots * RESERVED_PART)));
+        double sound = slots - Math.max(1, Math.round(slots * RESERVED_PART));
+        double share = failures.get(loop.nowMs());
+        double room = share < SOUND_SHARE ? 1 : Math.max(LEAST_ROOM, 1 - LOST_ROOM_PER_FAILURE * share);
+        return Math.max(1, (int) Math.round(sound * room));
     }
 
     int getBusy() {
@@ -195,6 +217,7 @@
         private long startedAtMs;
         private Optional<HttpClientConnection> connection = Optional.empty();
         private Optional<EventLoop.Timer> timeout = Optional.empty();
+        private boolean hasFailedCall;
         private boolean isFinished;
 
         private Run(ForwardedRequest request, Consumer<ForwardedAnswer> callback, long nowMs) {
@@ -207,6 +230,11 @@
             return request;
         }
 
+        /** Notes that a nested call failed, so that the run may fail for it. */
+        void onCallFailed() {
+            hasFailedCall = true;
+        }
+
         /** Adds what a nested call used. */
         void addUsed(Map<String, Double> nestedMs) {
             nestedMs.forEach((service, ms) -> usedMs.merge(service, ms, Double::sum));
@@ -235,6 +263,7 @@
         @Override
         public void onResponse(HttpResponseMessage response) {
             if (response.findHeader(names.notExecuted()).isPresent()) {
+                failures.record(true, loop.nowMs());
                 end(fail(Execution.NOT_RUN, "rejected-by-upstream"));
                 return;
             }
@@ -247,6 +276,8 @@
                 end(fail(Execution.UNKNOWN, "answer-without-id"));
                 return;
             }
+            // A failure after a failed call of its own is not the fault of this upstream.
+            failures.record(response.status() >= SERVER_ERROR && !hasFailedCall, loop.nowMs());
             double tookMs = loop.nowMs() - startedAtMs;
             durationMs += DURATION_WEIGHT * (tookMs - durationMs);
             usedMs.merge(request.service(), tookMs, Double::sum);
@@ -258,6 +289,7 @@
         @Override
         public void onFailure(HttpFailure failure, String cause) {
             boolean isSent = failure != HttpFailure.NOT_SENT;
+            failures.record(true, loop.nowMs());
             if (!isSent) {
                 upstream.onUnreachable(cause);
             }
--- a/mesh/src/main/java/io/cranberryarch/mesh/QuotaService.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/QuotaService.java
@@ -17,6 +17,9 @@
     /** Demand below this is not worth telling others, in requests a second. */
     private static final double NEGLIGIBLE_PER_S = 0.2;
 
+    /** The most requests whose tokens are given back between two statuses. */
+    private static final long MOST_GIVEN_BACK = 50;
+
     private static final int MS_PER_S = 1_000;
 
     private final EventLoop loop;
@@ -53,6 +56,14 @@
         return Optional.of(quota.toRetryAfterMs(limit, share, nowMs));
     }
 
+    /** Gives the token of a request back that did not run. */
+    void giveBack(AccountRule account) {
+        AccountQuota quota = quotas.get(account.name());
+        if (quota != null && account.isLimited()) {
+            quota.giveBack();
+        }
+    }
+
     /** Notes what another node admitted since its last status. */
     void onPeerStatus(Peer peer, Optional<ServingRules> rules, PeerService peers) {
         Map<String, Long> known = admittedByPeer.put(peer.getInfo().node(), peer.getAdmitted());
@@ -66,8 +77,8 @@
                 continue;
             }
             long before = known.getOrDefault(account.name(), 0L);
-            // A lower count is that of a new incarnation.
-            long news = count >= before ? count - before : count;
+            // Tokens that were given back may lower the count by a few; a much lower one is that of a new incarnation.
+            long news = count >= before - MOST_GIVEN_BACK ? count - before : count;
             quota.onOtherAdmitted(toLimit(account), toShare(account, quota, peers), news, loop.nowMs());
         }
     }
--- a/mesh/src/main/java/io/cranberryarch/mesh/ServiceLoads.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/ServiceLoads.java
@@ -31,7 +31,7 @@
      *
      * @return the overloaded service, or empty if the request is let in
      */
-    Optional<Overload> findOverload(String route, String service, int rank, ServingRules rules) {
+    Optional<Overload> findOverload(String route, String service, int rank, boolean isReturning, ServingRules rules) {
         List<Integer> ranks = rules.getRanks();
         int position = Math.max(0, ranks.indexOf(rank));
         double chance = Math.random();
@@ -40,7 +40,7 @@
                 continue;
             }
             double load = toLoad(used);
-            if (chance < LoadShedding.toRefusedShare(load, position, ranks.size())) {
+            if (chance < LoadShedding.toRefusedShare(load, position, ranks.size(), isReturning)) {
                 return Optional.of(new Overload(used, load));
             }
         }
--- a/wire/src/main/java/io/cranberryarch/wire/ForwardMessage.java
+++ b/wire/src/main/java/io/cranberryarch/wire/ForwardMessage.java
@@ -19,6 +19,7 @@
                 in.unpackString(),
                 in.unpackInt(),
                 in.unpackBoolean(),
+                in.unpackBoolean(),
                 in.unpackLong(),
                 in.unpackString(),
                 in.unpackString(),
@@ -39,6 +40,7 @@
         out.packString(request.tree());
         out.packInt(request.rank());
         out.packBoolean(request.isNested());
+        out.packBoolean(request.isRepeat());
         out.packLong(request.timeoutMs());
         out.packString(request.method());
         out.packString(request.target());
