--- a/context/src/main/java/io/cranberryarch/context/ForwardedAnswer.java
+++ b/context/src/main/java/io/cranberryarch/context/ForwardedAnswer.java
@@ -49,4 +49,14 @@
     public boolean isAnswered() {
         return status != 0;
     }
+
+    /**
+     * Creates a copy with other headers.
+     *
+     * @param others the headers
+     * @return the copy
+     */
+    public ForwardedAnswer withHeaders(List<HeaderField> others) {
+        return new ForwardedAnswer(execution, reason, status, others, body, usedMs, limit, busy);
+    }
 }
--- a/context/src/main/java/io/cranberryarch/context/ForwardedRequest.java
+++ b/context/src/main/java/io/cranberryarch/context/ForwardedRequest.java
@@ -55,4 +55,15 @@
                 body,
                 hasBody);
     }
+
+    /**
+     * Creates a copy with other headers.
+     *
+     * @param others the headers
+     * @return the copy
+     */
+    public ForwardedRequest withHeaders(List<HeaderField> others) {
+        return new ForwardedRequest(
+                requestId, service, tree, rank, isNested, isRepeat, timeoutMs, method, target, others, body, hasBody);
+    }
 }
--- a/decision/src/main/java/io/cranberryarch/decision/serving/RunRegistry.java
+++ b/decision/src/main/java/io/cranberryarch/decision/serving/RunRegistry.java
@@ -25,7 +25,7 @@
     private static final long EARLY_MS = 2;
 
     /** How far it may lie behind, as the request reaches the upstream later than it was sent. */
-    private static final long LATE_MS = 40;
+    private static final long LATE_MS = 500;
 
     private final TreeMap<Long, T> byDeadline = new TreeMap<>();
 
--- a/mesh/src/main/java/io/cranberryarch/mesh/EntryService.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/EntryService.java
@@ -93,6 +93,7 @@
         this.log = log;
         this.droppedHeaders = toLowerCase(
                 "Authorization",
+                names.requestId(),
                 names.timeoutMs(),
                 names.account(),
                 names.callerService(),
@@ -152,8 +153,13 @@
                 return;
             }
             long leftMs = toTimeoutMs(route.get());
-            if (!authenticate(known.get(), route.get(), leftMs)) {
-                refuse(401, "key-rejected", 0);
+            if (!authenticate(known.get(), route.get())) {
+                if (isKeyless() && gate.isActive()) {
+                    // It may be a call of a run that this node does not know, e.g. one from before its start.
+                    refuse(503, "no-parent", UNAVAILABLE_RETRY_AFTER_MS);
+                } else {
+                    refuse(401, "key-rejected", 0);
+                }
                 return;
             }
             service = pickService(route.get());
@@ -177,18 +183,21 @@
         }
 
         /** Finds the account of the request, or the run to which a nested call belongs. */
-        private boolean authenticate(ServingRules known, ServingRoute target, long leftMs) {
+        private boolean authenticate(ServingRules known, ServingRoute target) {
             String header = request.findHeader("Authorization").orElse("");
             if (header.toLowerCase(Locale.ROOT).startsWith(BEARER)) {
                 account = known.findAccount(header.substring(BEARER.length()).strip());
                 return account.isPresent() || target.isOpen();
             }
             String text = request.findHeader(names.timeoutMs()).orElse("");
-            if (header.isEmpty() && text.matches("\\d{1,9}")) {
+            if (isKeyless() && text.matches("\\d{1,9}")) {
                 parent = gate.findParent(startMs + Long.parseLong(text));
             }
-            boolean isNested = parent.isPresent() || (header.isEmpty() && gate.isActive());
-            return target.isOpen() || (isNested && leftMs > 0);
+            return target.isOpen() || parent.isPresent();
+        }
+
+        private boolean isKeyless() {
+            return request.findHeader("Authorization").isEmpty();
         }
 
         private String pickService(ServingRoute target) {
@@ -251,7 +260,7 @@
             exchange.onAbandoned(this::abandon);
             timeout = Optional.of(loop.schedule(leftMs, this::expire));
             Forwarder.Attempts sent =
-                    forwarder.send(forwarded, target.isIdempotent(), Math.max(1, target.maxAttempts()), this::finish);
+                    forwarder.send(forwarded, target.isIdempotent(), Math.max(1, target.attemptLimit()), this::finish);
             attempts = Optional.of(sent);
         }
 
@@ -263,7 +272,11 @@
                 }
             }
             if (answer.isAnswered()) {
-                respond(new HttpResponseMessage(answer.status(), answer.headers(), answer.body()), "answered");
+                List<HeaderField> headers = new ArrayList<>(answer.headers());
+                if (!requestId.isEmpty()) {
+                    headers.add(new HeaderField(names.requestId(), requestId));
+                }
+                respond(new HttpResponseMessage(answer.status(), headers, answer.body()), "answered");
             } else if (answer.execution() == Execution.NOT_RUN) {
                 account.ifPresent(quotas::giveBack);
                 long retryAfterMs =
--- a/mesh/src/main/java/io/cranberryarch/mesh/Forwarder.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/Forwarder.java
@@ -52,12 +52,13 @@
      *
      * @param request the request
      * @param isIdempotent whether it may run more than once
-     * @param maxAttempts the most instances that it may be sent to
+     * @param attemptLimit the most instances that it may be sent to
      * @param callback takes the outcome, once, unless the request is cancelled
      * @return gives the request up
      */
-    Attempts send(ForwardedRequest request, boolean isIdempotent, int maxAttempts, Consumer<ForwardedAnswer> callback) {
-        Attempts attempts = new Attempts(request, isIdempotent, maxAttempts, callback);
+    Attempts send(
+            ForwardedRequest request, boolean isIdempotent, int attemptLimit, Consumer<ForwardedAnswer> callback) {
+        Attempts attempts = new Attempts(request, isIdempotent, attemptLimit, callback);
         RepeatBudget budget = getBudget(request.service());
         if (request.isRepeat()) {
             budget.onRepeatedRun(peers.countNodes(), loop.nowMs());
@@ -78,7 +79,7 @@
 
         private final ForwardedRequest request;
         private final boolean isIdempotent;
-        private final int maxAttempts;
+        private final int attemptLimit;
         private final Consumer<ForwardedAnswer> callback;
         private final long deadlineMs;
         private final Set<String> tried = new HashSet<>();
@@ -91,10 +92,10 @@
         private boolean isDone;
 
         private Attempts(
-                ForwardedRequest request, boolean isIdempotent, int maxAttempts, Consumer<ForwardedAnswer> callback) {
+                ForwardedRequest request, boolean isIdempotent, int attemptLimit, Consumer<ForwardedAnswer> callback) {
             this.request = request;
             this.isIdempotent = isIdempotent;
-            this.maxAttempts = maxAttempts;
+            this.attemptLimit = attemptLimit;
             this.callback = callback;
             this.deadlineMs = loop.nowMs() + request.timeoutMs();
             // A nested call and a direct one of the same service differ in their work.
@@ -144,7 +145,7 @@
             long overdueMs = latency.toOverdueMs();
             // A run that makes calls of its own would make them again.
             boolean isUseful =
-                    isIdempotent && latency.isLeaf() && sent < maxAttempts && overdueMs < deadlineMs - loop.nowMs();
+                    isIdempotent && latency.isLeaf() && sent < attemptLimit && overdueMs < deadlineMs - loop.nowMs();
             if (isDone || !isUseful || overdue.isPresent()) {
                 return;
             }
@@ -239,7 +240,7 @@
                 redirects++;
                 return redirects <= MAX_REDIRECTS;
             }
-            return sent < maxAttempts + redirects
+            return sent < attemptLimit + redirects
                     && getBudget(request.service()).tryRepeat(peers.countNodes(), request.rank(), loop.nowMs());
         }
 
--- a/mesh/src/main/java/io/cranberryarch/mesh/Gate.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/Gate.java
@@ -18,6 +18,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -51,6 +52,9 @@
     /** The weight of the newest run in the average duration of a run. */
     private static final double DURATION_WEIGHT = 0.02;
 
+    /** How long after its last run, or after the start of the node, an upstream may still make calls for a run. */
+    private static final long ACTIVE_MS = 6_000;
+
     private static final double FIRST_DURATION_MS = 50;
     private static final long EXPIRY_CHECK_INTERVAL_MS = 25;
 
@@ -63,6 +67,7 @@
     private final Set<Run> running = new HashSet<>();
     private final FailureShare failures = new FailureShare(FAILURE_WEIGHT, FAILURE_HALF_LIFE_MS);
     private final UpstreamState upstream;
+    private final Set<String> echoedHeaders;
     private double durationMs = FIRST_DURATION_MS;
     private long lastRunAtMs;
 
@@ -72,6 +77,7 @@
         this.upstream = upstream;
         this.log = log;
         this.connections = new HttpClientPool(loop, settings.upstream(), MAX_BODY_BYTES, MAX_IDLE_CONNECTION_MS);
+        this.echoedHeaders = Set.of(names.requestId().toLowerCase(Locale.ROOT));
         this.lastRunAtMs = loop.nowMs();
         loop.repeat(EXPIRY_CHECK_INTERVAL_MS, this::refuseExpired);
     }
@@ -108,9 +114,9 @@
         return registry.find(deadlineMs);
     }
 
-    /** Tells whether the upstream runs a request, or did a moment ago. */
+    /** Tells whether the upstream may run a request: one of this node, or one from before its start. */
     boolean isActive() {
-        return !running.isEmpty() || loop.nowMs() - lastRunAtMs < 1_000;
+        return !running.isEmpty() || loop.nowMs() - lastRunAtMs < ACTIVE_MS;
     }
 
     /**
@@ -246,6 +252,9 @@
             deadlineMs = registry.add(this, deadlineMs);
             long leftMs = Math.max(1, deadlineMs - startedAtMs);
             List<HeaderField> headers = new ArrayList<>(request.headers());
+            if (!request.requestId().isEmpty()) {
+                headers.add(new HeaderField(names.requestId(), request.requestId()));
+            }
             headers.add(new HeaderField(names.timeoutMs(), String.valueOf(leftMs)));
             headers.add(new HeaderField(names.expectedInstance(), upstream.getInstance()));
             HttpRequestMessage message = new HttpRequestMessage(
@@ -281,7 +290,7 @@
             double tookMs = loop.nowMs() - startedAtMs;
             durationMs += DURATION_WEIGHT * (tookMs - durationMs);
             usedMs.merge(request.service(), tookMs, Double::sum);
-            List<HeaderField> headers = HttpHeaders.toEndToEnd(response.headers(), Set.of());
+            List<HeaderField> headers = HttpHeaders.toEndToEnd(response.headers(), echoedHeaders);
             end(new ForwardedAnswer(
                     Execution.RUN, "", response.status(), headers, response.body(), usedMs, getLimit(), getBusy()));
         }
--- a/mesh/src/main/java/io/cranberryarch/mesh/MeshNode.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/MeshNode.java
@@ -83,7 +83,7 @@
         gate = new Gate(loop, settings, names, upstream, log);
         quotas = new QuotaService(loop, settings);
         long incarnation = System.currentTimeMillis();
-        peers = new PeerService(loop, self, incarnation, gate, upstream, rules, log, quotas);
+        peers = new PeerService(loop, self, incarnation, gate, new CompactHeaders(names), upstream, rules, log, quotas);
         forwarder = new Forwarder(loop, settings, peers, gate, log);
         RouteCosts costs = new RouteCosts();
         ServiceLoads loads = new ServiceLoads(loop, peers, costs);
--- a/mesh/src/main/java/io/cranberryarch/mesh/PeerLink.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/PeerLink.java
@@ -114,7 +114,7 @@
     Runnable forward(ForwardedRequest request, boolean isRepeatable, Consumer<ForwardedAnswer> callback) {
         long id = nextId++;
         pending.put(id, new Pending(isRepeatable, callback));
-        send(id, new ForwardMessage(request));
+        send(id, new ForwardMessage(request.withHeaders(service.getCompact().shorten(request.headers()))));
         return () -> {
             if (pending.remove(id) != null) {
                 send(id, new CancelMessage());
@@ -202,7 +202,9 @@
             case FORWARD_ANSWER -> {
                 Pending request = pending.remove(frame.id());
                 if (request != null) {
-                    request.callback.accept(((ForwardAnswerMessage) frame.message()).answer());
+                    ForwardedAnswer answer = ((ForwardAnswerMessage) frame.message()).answer();
+                    request.callback.accept(
+                            answer.withHeaders(service.getCompact().expand(answer.headers())));
                 }
             }
             case CANCEL -> {
@@ -215,11 +217,15 @@
         }
     }
 
-    private void serve(long id, ForwardedRequest request) {
+    private void serve(long id, ForwardedRequest compact) {
+        ForwardedRequest request = compact.withHeaders(service.getCompact().expand(compact.headers()));
         serving.put(id, () -> {});
         Runnable cancel = service.getGate().handle(request, answer -> {
             if (serving.remove(id) != null) {
-                send(id, new ForwardAnswerMessage(answer));
+                send(
+                        id,
+                        new ForwardAnswerMessage(
+                                answer.withHeaders(service.getCompact().shorten(answer.headers()))));
             }
         });
         serving.replace(id, cancel);
--- a/mesh/src/main/java/io/cranberryarch/mesh/PeerService.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/PeerService.java
@@ -45,6 +45,7 @@
     private final PeerInfo self;
     private final long incarnation;
     private final Gate gate;
+    private final CompactHeaders compact;
     private final UpstreamState upstream;
     private final RulesService rules;
     private final EventLog log;
@@ -61,6 +62,7 @@
             PeerInfo self,
             long incarnation,
             Gate gate,
+            CompactHeaders compact,
             UpstreamState upstream,
             RulesService rules,
             EventLog log,
@@ -69,6 +71,7 @@
         this.self = self;
         this.incarnation = incarnation;
         this.gate = gate;
+        this.compact = compact;
         this.upstream = upstream;
         this.rules = rules;
         this.log = log;
@@ -89,6 +92,10 @@
         loop.repeat(CHECK_INTERVAL_MS, this::check);
     }
 
+    CompactHeaders getCompact() {
+        return compact;
+    }
+
     Gate getGate() {
         return gate;
     }
--- /dev/null
+++ b/mesh/src/test/java/io/cranberryarch/mesh/MeshNodeTest.java
@@ -0,0 +1,204 @@
+package io.cranberryarch.mesh;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.cranberryarch.net.HttpExchange;
+import io.cranberryarch.net.HttpRequestMessage;
+import io.cranberryarch.net.HttpResponseMessage;
+import io.cranberryarch.settings.serving.AccountRule;
+import java.net.http.HttpResponse;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class MeshNodeTest {
+
+    private static final String KEY = "key-of-ana";
+
+    private final TestFleet fleet = new TestFleet();
+    private TestFleet.Member near;
+    private TestFleet.Member far;
+
+    @BeforeEach
+    void start() throws Exception {
+        near = fleet.add("node-a", "zone-a");
+        far = fleet.add("node-b", "zone-b");
+        fleet.publish(1);
+        fleet.start();
+        TestFleet.await(() -> near.metrics().contains("peers_connected 1"));
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        fleet.close();
+    }
+
+    private HttpResponse<String> send(String method, String path, String key) throws Exception {
+        return TestFleet.get(fleet.send(near, method, path, key));
+    }
+
+    /** Answers so that nobody can tell to which request the answer belongs. */
+    private static void answerWithoutIdentifier(HttpExchange exchange) {
+        exchange.respond(new HttpResponseMessage(200, List.of(), new byte[0]));
+    }
+
+    @Test
+    void requestsReachTheUpstreamWithAccountAndWithoutKey() throws Exception {
+        HttpResponse<String> answer = send("GET", "/read/7?x=%2F", KEY);
+        assertEquals(200, answer.statusCode());
+        assertEquals("instance-of-node-a", answer.body());
+        HttpRequestMessage seen = near.upstream().getArrived().get(0).getRequest();
+        assertEquals("/read/7?x=%2F", seen.target());
+        assertEquals(Optional.of("ana"), seen.findHeader(TestNames.NAMES.account()));
+        assertEquals(Optional.of("stock"), seen.findHeader(TestNames.NAMES.callerService()));
+        assertEquals(Optional.of("instance-of-node-a"), seen.findHeader(TestNames.NAMES.expectedInstance()));
+        assertEquals(Optional.empty(), seen.findHeader("Authorization"));
+        long leftMs =
+                Long.parseLong(seen.findHeader(TestNames.NAMES.timeoutMs()).orElseThrow());
+        assertTrue(leftMs > 0 && leftMs <= 4_000, "left " + leftMs);
+    }
+
+    @Test
+    void unknownKeysAndRoutesAreRefusedAtTheEntry() throws Exception {
+        assertEquals(401, send("GET", "/read/7", "key-of-nobody").statusCode());
+        assertEquals(404, send("GET", "/nowhere/7", KEY).statusCode());
+        assertEquals(200, send("GET", "/open/7", "").statusCode());
+        assertEquals(1, near.upstream().getArrived().size());
+    }
+
+    @Test
+    void requestWithoutKeyRunsForNobody() throws Exception {
+        // A node that has just started cannot tell it from a call of a request that it does not know.
+        assertEquals(503, send("GET", "/read/7", "").statusCode());
+        CompletableFuture<HttpExchange> running = new CompletableFuture<>();
+        near.upstream().setBehaviour(running::complete);
+        CompletableFuture<HttpResponse<String>> root = fleet.send(near, "GET", "/read/7", KEY);
+        TestFleet.get(running);
+        assertEquals(503, send("GET", "/read/8", "").statusCode());
+        assertEquals(1, near.upstream().getArrived().size());
+        root.cancel(true);
+    }
+
+    @Test
+    void idempotentRequestIsRepeatedElsewhereWhenItsAnswerIsLost() throws Exception {
+        near.upstream().setBehaviour(MeshNodeTest::answerWithoutIdentifier);
+        HttpResponse<String> answer = send("GET", "/read/7", KEY);
+        assertEquals("instance-of-node-b", answer.body());
+    }
+
+    @Test
+    void requestThatMayHaveRunIsNotSentAgainUnlessIdempotent() throws Exception {
+        // An answer without the identifier of the request belongs to no request.
+        near.upstream()
+                .setBehaviour(exchange ->
+                        exchange.respond(new io.cranberryarch.net.HttpResponseMessage(200, List.of(), new byte[0])));
+        HttpResponse<String> answer = send("POST", "/order/7", KEY);
+        assertEquals(502, answer.statusCode());
+        assertEquals(0, far.upstream().getArrived().size());
+    }
+
+    @Test
+    void rejectedRequestRunsElsewhereAlsoIfNotIdempotent() throws Exception {
+        near.upstream().setBehaviour(near.upstream()::reject);
+        HttpResponse<String> answer = send("POST", "/order/7", KEY);
+        assertEquals(200, answer.statusCode());
+        assertEquals("instance-of-node-b", answer.body());
+    }
+
+    @Test
+    void requestRejectedEverywhereIsAnsweredAsNotRun() throws Exception {
+        near.upstream().setBehaviour(near.upstream()::reject);
+        far.upstream().setBehaviour(far.upstream()::reject);
+        HttpResponse<String> answer = send("POST", "/order/7", KEY);
+        assertEquals(503, answer.statusCode());
+        assertTrue(answer.headers().firstValue("Retry-After").isPresent());
+    }
+
+    @Test
+    void leavingUpstreamGetsNothingNew() throws Exception {
+        near.report(2, true);
+        TestFleet.await(() -> send("GET", "/read/7", KEY).body().equals("instance-of-node-b"));
+        // A report that was under way when the upstream left does not bring it back.
+        near.report(1, false);
+        assertEquals("instance-of-node-b", send("GET", "/read/7", KEY).body());
+    }
+
+    @Test
+    void callerThatLeavesCancelsTheRun() throws Exception {
+        CompletableFuture<Boolean> cancelled = new CompletableFuture<>();
+        CompletableFuture<Boolean> arrived = new CompletableFuture<>();
+        near.upstream().setBehaviour(exchange -> {
+            exchange.onAbandoned(() -> cancelled.complete(true));
+            arrived.complete(true);
+        });
+        CompletableFuture<HttpResponse<String>> request = fleet.send(near, "GET", "/read/7", KEY);
+        TestFleet.get(arrived);
+        request.cancel(true);
+        assertTrue(TestFleet.get(cancelled));
+    }
+
+    @Test
+    void nestedCallsNeedNoKeyWhileTheirRequestRuns() throws Exception {
+        CompletableFuture<HttpExchange> running = new CompletableFuture<>();
+        near.upstream().setBehaviour(running::complete);
+        CompletableFuture<HttpResponse<String>> root = fleet.send(near, "GET", "/read/7", KEY);
+        HttpExchange exchange = TestFleet.get(running);
+        near.upstream().setBehaviour(nested -> near.upstream().respond(nested, 200, "nested"));
+        String leftMs =
+                exchange.getRequest().findHeader(TestNames.NAMES.timeoutMs()).orElseThrow();
+        assertEquals(
+                "nested",
+                TestFleet.get(fleet.send(near, "GET", "/read/8", "", leftMs)).body());
+        near.upstream().execute(() -> near.upstream().respond(exchange, 200, "root"));
+        assertEquals("root", TestFleet.get(root).body());
+    }
+
+    @Test
+    void newerRulesReachANodeThatCannotReadTheStoreAndOlderOnesAreNotTaken() throws Exception {
+        far.store().setAway(true);
+        fleet.publish(2);
+        TestFleet.await(
+                () -> TestFleet.get(fleet.send(far, "GET", "/added/1", "")).statusCode() == 200);
+        far.store().setAway(false);
+        fleet.publish(1);
+        TestFleet.await(() -> near.metrics().contains("rules_version 2"));
+        assertEquals(200, TestFleet.get(fleet.send(far, "GET", "/added/1", "")).statusCode());
+    }
+
+    @Test
+    void withdrawnKeyStopsWorkingOnOpenConnections() throws Exception {
+        assertEquals(200, send("GET", "/read/7", KEY).statusCode());
+        fleet.setAccounts(new AccountRule("ana", List.of("other-key"), Optional.empty(), 0, 0));
+        fleet.publish(3);
+        TestFleet.await(() -> send("GET", "/read/7", KEY).statusCode() == 401);
+        assertEquals(200, send("GET", "/read/7", "other-key").statusCode());
+    }
+
+    @Test
+    void accountOverItsRateIsToldWhenToComeBack() throws Exception {
+        fleet.setAccounts(new AccountRule("ana", List.of(KEY), Optional.empty(), 1, 1));
+        fleet.publish(3);
+        TestFleet.await(() -> send("GET", "/read/7", KEY).statusCode() == 429);
+        HttpResponse<String> answer = send("GET", "/read/7", KEY);
+        assertEquals(429, answer.statusCode());
+        assertTrue(Double.parseDouble(answer.headers().firstValue("Retry-After").orElseThrow()) > 0);
+    }
+
+    @Test
+    void stoppingNodeIsNotReadyAndEndsWithoutCuttingRequests() throws Exception {
+        CompletableFuture<HttpExchange> running = new CompletableFuture<>();
+        near.upstream().setBehaviour(running::complete);
+        CompletableFuture<HttpResponse<String>> request = fleet.send(near, "GET", "/read/7", KEY);
+        HttpExchange exchange = TestFleet.get(running);
+        near.loop().execute(near.node()::stop);
+        TestFleet.await(() -> near.status() == 503);
+        assertFalse(request.isDone());
+        near.upstream().execute(() -> near.upstream().respond(exchange, 200, "whole"));
+        assertEquals("whole", TestFleet.get(request).body());
+    }
+}
--- /dev/null
+++ b/mesh/src/test/java/io/cranberryarch/mesh/TestFleet.java
@@ -0,0 +1,193 @@
+package io.cranberryarch.mesh;
+
+import io.cranberryarch.base.Clock;
+import io.cranberryarch.base.Closer;
+import io.cranberryarch.net.EventLoop;
+import io.cranberryarch.settings.serving.AccountRule;
+import io.cranberryarch.settings.serving.RequestLimits;
+import io.cranberryarch.settings.serving.ServiceRule;
+import io.cranberryarch.settings.serving.ServingRoute;
+import io.cranberryarch.settings.serving.ServingRules;
+import io.cranberryarch.settings.serving.WeightedService;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+/** Nodes with their upstreams on loopback, which share a store. The document of the rules is just their version. */
+final class TestFleet implements AutoCloseable {
+
+    static final String ROUTE_HOST = "shop.example";
+
+    private static final long PATIENCE_MS = 30_000;
+
+    private final Closer closer = new Closer();
+    private final FakeStore store = new FakeStore();
+    private final HttpClient client =
+            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    private final List<Member> members = new ArrayList<>();
+    private volatile List<AccountRule> accounts =
+            List.of(new AccountRule("ana", List.of("key-of-ana"), Optional.empty(), 0, 0));
+
+    /** Adds a node whose upstream serves the service "stock". */
+    Member add(String name, String zone) throws Exception {
+        TestUpstream upstream = closer.add(new TestUpstream("instance-of-" + name));
+        EventLoop loop = new EventLoop(Clock.system());
+        MeshSettings settings = new MeshSettings(
+                name,
+                zone,
+                "stock",
+                pickAddress(),
+                pickAddress(),
+                pickAddress(),
+                pickAddress(),
+                pickAddress(),
+                upstream.getAddress(),
+                60_000,
+                pickAddress(),
+                List.of(),
+                1_000,
+                0.2,
+                50,
+                5_000,
+                0.1,
+                20,
+                1_000);
+        EventLog log = closer.add(new EventLog(1_000));
+        FakeStore.View view = store.connect(loop);
+        MeshNode node = new MeshNode(loop, settings, TestNames.NAMES, view, this::readRules, log);
+        Member member = new Member(settings, loop, node, upstream, view, new Thread(loop::run, name));
+        closer.add(member);
+        members.add(member);
+        return member;
+    }
+
+    void start() throws Exception {
+        for (Member member : members) {
+            member.node().start();
+            member.thread().start();
+            member.report(1, false);
+        }
+        for (Member member : members) {
+            await(() -> member.status() == 200);
+        }
+    }
+
+    void setAccounts(AccountRule... newAccounts) {
+        accounts = List.of(newAccounts);
+    }
+
+    void publish(long version) {
+        store.write(String.valueOf(version).getBytes(StandardCharsets.UTF_8));
+    }
+
+    /** Sends a request to a node's entry. */
+    CompletableFuture<HttpResponse<String>> send(Member member, String method, String path, String key) {
+        return send(member, method, path, key, "5000");
+    }
+
+    /** Sends a request whose caller waits for some milliseconds. */
+    CompletableFuture<HttpResponse<String>> send(
+            Member member, String method, String path, String key, String timeoutMs) {
+        HttpRequest.Builder request = HttpRequest.newBuilder(URI.create(
+                        "http://127.0.0.1:" + member.settings().entry().getPort() + path))
+                .header(TestNames.NAMES.requestId(), "id-" + System.nanoTime())
+                .header(TestNames.NAMES.timeoutMs(), timeoutMs)
+                .method(method, HttpRequest.BodyPublishers.noBody());
+        if (!key.isEmpty()) {
+            request.header("Authorization", "Bearer " + key);
+        }
+        return client.sendAsync(request.build(), HttpResponse.BodyHandlers.ofString());
+    }
+
+    static <T> T get(CompletableFuture<T> result) throws Exception {
+        return result.get(PATIENCE_MS, TimeUnit.MILLISECONDS);
+    }
+
+    static void await(Callable<Boolean> condition) throws Exception {
+        long endMs = System.currentTimeMillis() + PATIENCE_MS;
+        while (!condition.call()) {
+            if (System.currentTimeMillis() > endMs) {
+                throw new AssertionError("condition not met in time");
+            }
+            Thread.sleep(10);
+        }
+    }
+
+    @Override
+    public void close() throws Exception {
+        closer.close();
+    }
+
+    private ServingRules readRules(byte[] document) {
+        long version = Long.parseLong(new String(document, StandardCharsets.UTF_8));
+        List<ServingRoute> routes = new ArrayList<>();
+        routes.add(toRoute("read", "/read/", true, false));
+        routes.add(toRoute("order", "/order/", false, false));
+        routes.add(toRoute("open", "/open/", true, true));
+        if (version >= 2) {
+            routes.add(toRoute("added", "/added/", true, true));
+        }
+        List<ServiceRule> services = List.of(new ServiceRule("stock", "/health", 100));
+        return new ServingRules(version, routes, services, accounts, new RequestLimits(8_000, 100_000, 5_000, 30_000));
+    }
+
+    private static ServingRoute toRoute(String name, String prefix, boolean isIdempotent, boolean isOpen) {
+        List<WeightedService> services = List.of(new WeightedService("stock", 1));
+        return new ServingRoute(name, "127.0.0.1", prefix, services, isIdempotent, isOpen, 4_000, 1_000, 0, 2);
+    }
+
+    private static InetSocketAddress pickAddress() throws Exception {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            return new InetSocketAddress("127.0.0.1", socket.getLocalPort());
+        }
+    }
+
+    /** A node with what belongs to it. */
+    record Member(
+            MeshSettings settings,
+            EventLoop loop,
+            MeshNode node,
+            TestUpstream upstream,
+            FakeStore.View store,
+            Thread thread)
+            implements AutoCloseable {
+
+        void report(long sequence, boolean isLeaving) {
+            String instance = "instance-of-" + settings.node();
+            UpstreamReport report = new UpstreamReport(instance, 1, sequence, "stock", 20, isLeaving, 0);
+            loop.execute(() -> node.getUpstream().onReport(report));
+        }
+
+        /** Asks whether the node is ready. */
+        int status() throws Exception {
+            URI ready = URI.create("http://127.0.0.1:" + settings.ready().getPort() + "/ready");
+            return HttpClient.newHttpClient()
+                    .send(HttpRequest.newBuilder(ready).build(), HttpResponse.BodyHandlers.discarding())
+                    .statusCode();
+        }
+
+        String metrics() throws Exception {
+            URI metrics = URI.create("http://127.0.0.1:" + settings.metrics().getPort() + "/metrics");
+            return HttpClient.newHttpClient()
+                    .send(HttpRequest.newBuilder(metrics).build(), HttpResponse.BodyHandlers.ofString())
+                    .body();
+        }
+
+        @Override
+        public void close() throws Exception {
+            loop.close();
+            thread.join();
+        }
+    }
+}
--- a/settings/src/main/java/io/cranberryarch/settings/serving/ServingRoute.java
+++ b/settings/src/main/java/io/cranberryarch/settings/serving/ServingRoute.java
@@ -14,7 +14,7 @@
  * @param timeoutMs the longest time to wait for an answer, in milliseconds
  * @param objectiveMs the time within which an answer is fully useful, in milliseconds
  * @param rank the importance, 0 for the most important
- * @param maxAttempts the most instances that one request may be sent to
+ * @param attemptLimit the most instances that one request may be sent to
  */
 public record ServingRoute(
         String name,
@@ -26,7 +26,7 @@
         long timeoutMs,
         long objectiveMs,
         int rank,
-        int maxAttempts) {
+        int attemptLimit) {
 
     /** Copies the list. */
     public ServingRoute {
