--- a/decision/src/main/java/io/cranberryarch/decision/serving/LoadShedding.java
+++ b/decision/src/main/java/io/cranberryarch/decision/serving/LoadShedding.java
@@ -8,10 +8,10 @@
 public final class LoadShedding {
 
     /** The load of a service, as busy requests by its limit, from which the least important rank is refused. */
-    private static final double FIRST_LOAD = 0.82;
+    private static final double FIRST_LOAD = 1.0;
 
     /** The additional load over which a rank goes from no refusals to refusals only, half of it for new requests. */
-    private static final double RANK_BAND = 0.18;
+    private static final double RANK_BAND = 0.2;
 
     private LoadShedding() {}
 
--- a/mesh/src/main/java/io/cranberryarch/mesh/Forwarder.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/Forwarder.java
@@ -87,6 +87,7 @@
         private final LatencyEstimate latency;
         private Optional<EventLoop.Timer> overdue = Optional.empty();
         private int sent;
+        private int notRun;
         private int redirects;
         private boolean mayHaveRun;
         private boolean isDone;
@@ -145,13 +146,13 @@
             long overdueMs = latency.toOverdueMs();
             // A run that makes calls of its own would make them again.
             boolean isUseful =
-                    isIdempotent && latency.isLeaf() && sent < attemptLimit && overdueMs < deadlineMs - loop.nowMs();
+                    isIdempotent && latency.isLeaf() && isRunAllowed() && overdueMs < deadlineMs - loop.nowMs();
             if (isDone || !isUseful || overdue.isPresent()) {
                 return;
             }
             overdue = Optional.of(loop.schedule(overdueMs, () -> {
                 boolean isLate = deadlineMs - loop.nowMs() < latency.getMeanMs();
-                if (isDone || underWay.isEmpty() || isLate || !hasOther() || !tryRepeat()) {
+                if (isDone || underWay.isEmpty() || isLate || !isRunAllowed() || !hasOther() || !tryRepeat()) {
                     return;
                 }
                 logRepeat("overdue", Execution.UNKNOWN);
@@ -199,7 +200,11 @@
                 peer.getLoad().onReport(answer.limit(), answer.busy());
             }
             peer.getLoad().onEnd(!answer.isAnswered() && isInstanceFailure(answer), loop.nowMs());
-            mayHaveRun |= answer.execution() != Execution.NOT_RUN;
+            if (answer.execution() == Execution.NOT_RUN) {
+                notRun++;
+            } else {
+                mayHaveRun = true;
+            }
             if (answer.isAnswered() && answer.status() < SERVER_ERROR) {
                 latency.record(
                         (double) (loop.nowMs() - startMs), answer.usedMs().size() <= 1);
@@ -240,10 +245,15 @@
                 redirects++;
                 return redirects <= MAX_REDIRECTS;
             }
-            return sent < attemptLimit + redirects
+            return isRunAllowed()
                     && getBudget(request.service()).tryRepeat(peers.countNodes(), request.rank(), loop.nowMs());
         }
 
+        /** Tells whether a further instance may run the request, besides those that may have. */
+        private boolean isRunAllowed() {
+            return sent - notRun < attemptLimit;
+        }
+
         private boolean hasOther() {
             PeerService.Places places = peers.getPlaces(request.service());
             return !untried(places.near()).isEmpty() || !untried(places.far()).isEmpty();
--- a/mesh/src/test/java/io/cranberryarch/mesh/MeshNodeTest.java
+++ b/mesh/src/test/java/io/cranberryarch/mesh/MeshNodeTest.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -102,6 +103,37 @@
         assertEquals(0, far.upstream().getArrived().size());
     }
 
+    @Test
+    void noRequestRunsOnMoreInstancesThanItsRouteAllows() throws Exception {
+        TestFleet.Member third = fleet.add("node-c", "zone-a");
+        fleet.start(third);
+        TestFleet.await(() -> near.metrics().contains("peers_connected 2"));
+        for (int i = 0; i < 40; i++) {
+            send("GET", "/read/" + i, KEY);
+        }
+        List<TestFleet.Member> members = List.of(near, far, third);
+        int before = countArrived(members);
+        // The first instance that gets the request loses its answer, and all others are silent.
+        AtomicBoolean isFirst = new AtomicBoolean(true);
+        for (TestFleet.Member member : members) {
+            member.upstream().setBehaviour(exchange -> {
+                if (isFirst.getAndSet(false)) {
+                    answerWithoutIdentifier(exchange);
+                }
+            });
+        }
+        assertEquals(504, send("GET", "/read/x", KEY).statusCode());
+        assertEquals(2, countArrived(members) - before);
+    }
+
+    private static int countArrived(List<TestFleet.Member> members) {
+        int count = 0;
+        for (TestFleet.Member member : members) {
+            count += member.upstream().getArrived().size();
+        }
+        return count;
+    }
+
     @Test
     void rejectedRequestRunsElsewhereAlsoIfNotIdempotent() throws Exception {
         near.upstream().setBehaviour(near.upstream()::reject);
