--- a/app/src/main/java/io/cranberryarch/app/Main.java
+++ b/app/src/main/java/io/cranberryarch/app/Main.java
@@ -6,6 +6,7 @@
 import io.cranberryarch.operator.CheckCommand;
 import io.cranberryarch.operator.DrainCommand;
 import io.cranberryarch.operator.ExitCodes;
+import io.cranberryarch.operator.ExplainCommand;
 import io.cranberryarch.operator.KeyCommand;
 import io.cranberryarch.operator.ReportCommand;
 import io.cranberryarch.operator.RouteCommand;
@@ -34,6 +35,7 @@
             RouteCommand.class,
             StatusCommand.class,
             DrainCommand.class,
+            ExplainCommand.class,
             ReportCommand.class,
             StandinCommand.class,
             ExperimentCommand.class,
--- /dev/null
+++ b/operator/src/test/java/io/cranberryarch/operator/RequestTraceTest.java
@@ -0,0 +1,41 @@
+package io.cranberryarch.operator;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+
+class RequestTraceTest {
+
+    private static final String RULES = "2026-01-20T21:53:17.623Z INFO event=rules-changed source=store from=4 to=8";
+
+    @Test
+    void linesOfARequestAreShownInOrderOfTimeWithTheirCause() {
+        RequestTrace trace = new RequestTrace("r1");
+        trace.add("entry", RULES);
+        trace.add(
+                "entry", "2026-01-20T21:53:19.300Z INFO event=request-ended request=r1 status=503 outcome=overloaded");
+        trace.add("gate", "2026-01-20T21:53:19.200Z INFO event=gate-failure request=r1 reason=overloaded waiting=4");
+        trace.add("gate", "2026-01-20T21:53:19.201Z INFO event=gate-failure request=r2 reason=overloaded waiting=4");
+        String[] lines = trace.toText().split("\n");
+        assertEquals("2026-01-20T21:53:17.623Z entry rules-changed source=store from=4 to=8", lines[0]);
+        assertEquals("2026-01-20T21:53:19.200Z gate gate-failure reason=overloaded waiting=4", lines[1]);
+        assertTrue(lines[2].contains("no room before the deadline; not run"), lines[2]);
+        assertTrue(lines[3].startsWith("2026-01-20T21:53:19.300Z entry request-ended status=503"), lines[3]);
+    }
+
+    @Test
+    void refusalNamesTheOverloadedService() {
+        RequestTrace trace = new RequestTrace("r1");
+        trace.add("a", "2026-01-20T21:53:19.300Z INFO event=request-ended request=r1 outcome=overload-of-stock");
+        assertTrue(trace.toText().contains("needs stock, which is overloaded"));
+    }
+
+    @Test
+    void otherLinesAreLeftOut() {
+        RequestTrace trace = new RequestTrace("r1");
+        trace.add("a", "something else");
+        trace.add("a", RULES);
+        assertTrue(trace.isEmpty());
+    }
+}
