New requests are refused by the work that all nodes ask of a service, known before it arrives

Now nodes tell each other the work that new requests ask for, by rank; the share that fits is let in, most important rank first; failing back ends are told apart by a share of failures beside the limit. Test: BurstOnDeepServiceTest.

--- a/context/src/main/java/io/cranberryarch/context/ForwardedAnswer.java
+++ b/context/src/main/java/io/cranberryarch/context/ForwardedAnswer.java
@@ -14,6 +14,7 @@
  * @param usedMs milliseconds of slots that the request and its nested calls used, by service
  * @param limit requests that the instance runs at once at most
  * @param busy requests that run or wait at the instance
+ * @param failing the share of requests that its upstream fails by itself, from 0 to 1
  */
 @SuppressWarnings("ArrayRecordComponent")
 public record ForwardedAnswer(
@@ -24,10 +25,22 @@
         byte[] body,
         Map<String, Double> usedMs,
         int limit,
-        int busy) {
+        int busy,
+        double failing) {
 
     private static final byte[] NO_BODY = new byte[0];
 
+    /**
+     * Creates an outcome that says nothing about the load of an instance.
+     *
+     * @param execution whether the request ran
+     * @param reason why there is no answer
+     * @return the outcome
+     */
+    public static ForwardedAnswer ofFailure(Execution execution, String reason) {
+        return ofFailure(execution, reason, 0, 0, 0);
+    }
+
     /**
      * Creates an outcome without an answer of the upstream.
      *
@@ -35,10 +48,11 @@
      * @param reason why there is no answer
      * @param limit the limit of the instance, 0 if unknown
      * @param busy its busy requests
+     * @param failing the share of requests that its upstream fails by itself
      * @return the outcome
      */
-    public static ForwardedAnswer ofFailure(Execution execution, String reason, int limit, int busy) {
-        return new ForwardedAnswer(execution, reason, 0, List.of(), NO_BODY, Map.of(), limit, busy);
+    public static ForwardedAnswer ofFailure(Execution execution, String reason, int limit, int busy, double failing) {
+        return new ForwardedAnswer(execution, reason, 0, List.of(), NO_BODY, Map.of(), limit, busy, failing);
     }
 
     /**
@@ -57,6 +71,6 @@
      * @return the copy
      */
     public ForwardedAnswer withHeaders(List<HeaderField> others) {
-        return new ForwardedAnswer(execution, reason, status, others, body, usedMs, limit, busy);
+        return new ForwardedAnswer(execution, reason, status, others, body, usedMs, limit, busy, failing);
     }
 }
--- a/decision/src/main/java/io/cranberryarch/decision/serving/InstanceLoad.java
+++ b/decision/src/main/java/io/cranberryarch/decision/serving/InstanceLoad.java
@@ -12,6 +12,7 @@
 
     private final FailureShare failures = new FailureShare(FAILURE_WEIGHT, FAILURE_HALF_LIFE_MS);
     private int limit = 1;
+    private double failing;
     private int reported;
     private int sentSinceReport;
     private long coldUntilMs;
@@ -21,8 +22,10 @@
      *
      * @param newLimit requests that it runs at once at most
      * @param busy requests that run or wait there
+     * @param newFailing the share of requests that its upstream fails by itself, from 0 to 1
      */
-    public void onReport(int newLimit, int busy) {
+    public void onReport(int newLimit, int busy, double newFailing) {
+        failing = newFailing;
         limit = Math.max(1, newLimit);
         reported = busy;
         sentSinceReport = 0;
@@ -81,6 +84,16 @@
         return nowMs < coldUntilMs ? Math.max(1, limit * COLD_SHARE) : limit;
     }
 
+    /**
+     * Gets the room for requests that end well.
+     *
+     * @param nowMs the time in milliseconds
+     * @return the limit less the part that the upstream fails by itself
+     */
+    public double toCapacity(long nowMs) {
+        return getLimit(nowMs) * (1 - failing);
+    }
+
     /**
      * Gets the cost of sending a further request here.
      *
@@ -88,6 +101,6 @@
      * @return 1 for a full instance without failures, more for worse ones
      */
     public double toCost(long nowMs) {
-        return (getBusy() + 1) / getLimit(nowMs) + FAILURE_COST * getFailureShare(nowMs);
+        return (getBusy() + 1) / getLimit(nowMs) + FAILURE_COST * (failing + getFailureShare(nowMs));
     }
 }
--- /dev/null
+++ b/decision/src/test/java/io/cranberryarch/decision/serving/BurstOnDeepServiceTest.java
@@ -0,0 +1,78 @@
+package io.cranberryarch.decision.serving;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Map;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Pattern: many users come at once, and nearly every call tree ends in one deep service that has room for half of them.
+ * A browse tree needs it eight times, an order four times, and a direct read once.
+ */
+class BurstOnDeepServiceTest {
+
+    private static final Map<String, Double> BROWSE = Map.of("shop", 120.0, "stock", 240.0);
+    private static final Map<String, Double> ORDER = Map.of("orders", 160.0, "stock", 120.0);
+    private static final Map<String, Double> READ = Map.of("stock", 48.0);
+    private static final Map<String, Double> HISTORY = Map.of("archive", 300.0);
+    private static final double STOCK_SLOTS = 76;
+
+    @Test
+    void importantTreesAreServedWholeAndOnlyTheLeastImportantAreRefused() {
+        WorkDemand[] nodes = new WorkDemand[16];
+        for (int i = 0; i < nodes.length; i++) {
+            nodes[i] = new WorkDemand();
+        }
+        for (long nowMs = 0; nowMs < 4_000; nowMs++) {
+            addAt(nodes, nowMs, 2, BROWSE, 420);
+            addAt(nodes, nowMs, 0, ORDER, 170);
+            addAt(nodes, nowMs, 1, READ, 170);
+            addAt(nodes, nowMs, 2, HISTORY, 170);
+        }
+        SortedMap<Integer, Double> stock = nodes[0].toSlots("stock", 4_000);
+        SortedMap<Integer, Double> archive = nodes[0].toSlots("archive", 4_000);
+        for (int i = 1; i < nodes.length; i++) {
+            WorkDemand.addReported(nodes[i].toReport(4_000), "stock", stock);
+            WorkDemand.addReported(nodes[i].toReport(4_000), "archive", archive);
+        }
+        assertEquals(20.4, stock.get(0), 1);
+        assertEquals(1, WorkDemand.toServedShare(stock, 0, STOCK_SLOTS));
+        assertEquals(1, WorkDemand.toServedShare(stock, 1, STOCK_SLOTS));
+        double browse = WorkDemand.toServedShare(stock, 2, STOCK_SLOTS);
+        assertEquals((STOCK_SLOTS - 20.4 - 8.2) / 100.8, browse, 0.08);
+        assertEquals(
+                1, WorkDemand.toServedShare(archive, 2, 400), "reads that do not reach the full service are served");
+    }
+
+    @Test
+    void demandFadesWhenTheBurstEnds() {
+        WorkDemand demand = new WorkDemand();
+        for (long nowMs = 0; nowMs < 2_000; nowMs += 10) {
+            demand.add(2, BROWSE, nowMs);
+        }
+        double during = demand.toSlots("stock", 2_000).get(2);
+        assertEquals(24, during, 4);
+        assertTrue(demand.toSlots("stock", 5_000).get(2) < 0.1 * during);
+    }
+
+    @Test
+    void ranksOfOtherServicesWithSimilarNamesAreNotMixed() {
+        WorkDemand demand = new WorkDemand();
+        demand.add(1, Map.of("restock", 500.0), 0);
+        SortedMap<Integer, Double> slots = new TreeMap<>();
+        WorkDemand.addReported(demand.toReport(0), "stock", slots);
+        assertTrue(slots.isEmpty());
+    }
+
+    /** Adds requests at an even pace, to one node after the other. */
+    private static void addAt(WorkDemand[] nodes, long nowMs, int rank, Map<String, Double> cost, int perS) {
+        long before = nowMs * perS / 1_000;
+        long after = (nowMs + 1) * perS / 1_000;
+        for (long i = before; i < after; i++) {
+            nodes[(int) (i % nodes.length)].add(rank, cost, nowMs);
+        }
+    }
+}
--- a/decision/src/test/java/io/cranberryarch/decision/serving/InstanceChoiceTest.java
+++ b/decision/src/test/java/io/cranberryarch/decision/serving/InstanceChoiceTest.java
@@ -13,7 +13,7 @@
 
     private static Place ofLoad(String name, int limit, int busy) {
         Place place = new Place(name, new InstanceLoad());
-        place.load().onReport(limit, busy);
+        place.load().onReport(limit, busy, 0);
         return place;
     }
 
@@ -65,6 +65,22 @@
         assertEquals("failing", later.orElseThrow().name());
     }
 
+    @Test
+    void instanceThatFailsFastDoesNotDrawRequestsBecauseItLooksIdle() {
+        Place failing = ofLoad("failing", 100, 0);
+        failing.load().onReport(100, 0, 0.45);
+        assertEquals("sound", choose(List.of(failing, ofLoad("sound", 100, 80)), List.of()));
+    }
+
+    @Test
+    void instancesThatAllFailShareTheRequests() {
+        Place one = ofLoad("one", 100, 0);
+        one.load().onReport(100, 50, 0.45);
+        Place two = ofLoad("two", 100, 0);
+        two.load().onReport(100, 20, 0.45);
+        assertEquals("two", choose(List.of(one, two), List.of()));
+    }
+
     @Test
     void requestsSentSinceTheLastReportCount() {
         Place place = ofLoad("place", 10, 2);
--- a/mesh/src/main/java/io/cranberryarch/mesh/Forwarder.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/Forwarder.java
@@ -119,8 +119,7 @@
         private void next() {
             Optional<Peer> place = choose();
             if (place.isEmpty()) {
-                finish(ForwardedAnswer.ofFailure(
-                        mayHaveRun ? Execution.UNKNOWN : Execution.NOT_RUN, "no-instance", 0, 0));
+                finish(ForwardedAnswer.ofFailure(mayHaveRun ? Execution.UNKNOWN : Execution.NOT_RUN, "no-instance"));
                 return;
             }
             Peer peer = place.get();
@@ -197,7 +196,7 @@
             }
             underWay.remove(number);
             if (answer.limit() > 0 && !peers.isSelf(peer)) {
-                peer.getLoad().onReport(answer.limit(), answer.busy());
+                peer.getLoad().onReport(answer.limit(), answer.busy(), answer.failing());
             }
             peer.getLoad().onEnd(!answer.isAnswered() && isInstanceFailure(answer), loop.nowMs());
             if (answer.execution() == Execution.NOT_RUN) {
@@ -262,11 +261,7 @@
         private void finish(ForwardedAnswer answer) {
             end();
             boolean isUncertain = mayHaveRun && answer.execution() == Execution.NOT_RUN;
-            callback.accept(
-                    isUncertain
-                            ? ForwardedAnswer.ofFailure(
-                                    Execution.UNKNOWN, answer.reason(), answer.limit(), answer.busy())
-                            : answer);
+            callback.accept(isUncertain ? ForwardedAnswer.ofFailure(Execution.UNKNOWN, answer.reason()) : answer);
         }
     }
 
--- a/mesh/src/main/java/io/cranberryarch/mesh/Gate.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/Gate.java
@@ -38,13 +38,6 @@
 
     private static final double FAILURE_HALF_LIFE_MS = 3_000;
 
-    /** The share of failures below which an upstream counts as sound. */
-    private static final double SOUND_SHARE = 0.08;
-
-    /** How much of its room an upstream loses with its share of failures, and what it keeps in any case. */
-    private static final double LOST_ROOM_PER_FAILURE = 1.6;
-
-    private static final double LEAST_ROOM = 0.1;
     private static final int SERVER_ERROR = 500;
     private static final int MAX_BODY_BYTES = 16 * 1024 * 1024;
     private static final long MAX_IDLE_CONNECTION_MS = 8_000;
@@ -119,16 +112,14 @@
         return !running.isEmpty() || loop.nowMs() - lastRunAtMs < ACTIVE_MS;
     }
 
-    /**
-     * Gets the number of requests that the upstream runs at once: its slots but for a reserve, fewer while it fails a
-     * part of its requests. An upstream that fails fast looks idle and would draw all requests otherwise.
-     */
     int getLimit() {
         int slots = upstream.getSlots();
-        double sound = slots - Math.max(1, Math.round(slots * RESERVED_PART));
-        double share = failures.get(loop.nowMs());
-        double room = share < SOUND_SHARE ? 1 : Math.max(LEAST_ROOM, 1 - LOST_ROOM_PER_FAILURE * share);
-        return Math.max(1, (int) Math.round(sound * room));
+        return Math.max(1, slots - Math.max(1, (int) Math.round(slots * RESERVED_PART)));
+    }
+
+    /** Gets the share of requests that the upstream fails by itself. */
+    double getFailing() {
+        return failures.get(loop.nowMs());
     }
 
     int getBusy() {
@@ -187,7 +178,8 @@
     }
 
     private ForwardedAnswer fail(Execution execution, String reason) {
-        return ForwardedAnswer.ofFailure(execution, reason, upstream.isKnown() ? getLimit() : 0, getBusy());
+        return ForwardedAnswer.ofFailure(
+                execution, reason, upstream.isKnown() ? getLimit() : 0, getBusy(), getFailing());
     }
 
     private void refuseExpired() {
@@ -292,7 +284,15 @@
             usedMs.merge(request.service(), tookMs, Double::sum);
             List<HeaderField> headers = HttpHeaders.toEndToEnd(response.headers(), echoedHeaders);
             end(new ForwardedAnswer(
-                    Execution.RUN, "", response.status(), headers, response.body(), usedMs, getLimit(), getBusy()));
+                    Execution.RUN,
+                    "",
+                    response.status(),
+                    headers,
+                    response.body(),
+                    usedMs,
+                    getLimit(),
+                    getBusy(),
+                    getFailing()));
         }
 
         @Override
--- a/mesh/src/main/java/io/cranberryarch/mesh/MeshNode.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/MeshNode.java
@@ -4,6 +4,7 @@
 import io.cranberryarch.context.HeaderField;
 import io.cranberryarch.context.PeerInfo;
 import io.cranberryarch.decision.serving.RouteCosts;
+import io.cranberryarch.decision.serving.WorkDemand;
 import io.cranberryarch.net.EventLoop;
 import io.cranberryarch.net.HttpExchange;
 import io.cranberryarch.net.HttpLimits;
@@ -82,11 +83,13 @@
         rules = new RulesService(loop, store, reader, log);
         gate = new Gate(loop, settings, names, upstream, log);
         quotas = new QuotaService(loop, settings);
+        WorkDemand workDemand = new WorkDemand();
         long incarnation = System.currentTimeMillis();
-        peers = new PeerService(loop, self, incarnation, gate, new CompactHeaders(names), upstream, rules, log, quotas);
+        peers = new PeerService(
+                loop, self, incarnation, gate, new CompactHeaders(names), upstream, rules, log, quotas, workDemand);
         forwarder = new Forwarder(loop, settings, peers, gate, log);
         RouteCosts costs = new RouteCosts();
-        ServiceLoads loads = new ServiceLoads(loop, peers, costs);
+        ServiceLoads loads = new ServiceLoads(loop, peers, costs, workDemand);
         entry = new EntryService(
                 loop, settings, names, rules, peers, gate, forwarder, quotas, loads, costs, metrics, log);
         rules.addListener(peers::broadcastStatus);
--- a/mesh/src/main/java/io/cranberryarch/mesh/Peer.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/Peer.java
@@ -19,6 +19,7 @@
     private boolean isAccepting;
     private long rulesVersion = -1;
     private Map<String, Double> demandPerS = new HashMap<>();
+    private Map<String, Double> workDemand = Map.of();
     private Map<String, Long> admitted = Map.of();
     private boolean isDialing;
     private long backoffMs;
@@ -47,7 +48,8 @@
         rulesVersion = Math.max(rulesVersion, status.rulesVersion());
         demandPerS = status.demandPerS();
         admitted = status.admitted();
-        load.onReport(status.limit(), status.busy());
+        load.onReport(status.limit(), status.busy(), status.failing());
+        workDemand = status.workDemand();
         load.setColdUntilMs(nowMs + status.coldLeftMs());
         return isChanged;
     }
@@ -88,6 +90,11 @@
         return demandPerS.getOrDefault(account, 0.0);
     }
 
+    /** Gets the work that new requests at the node ask of services. */
+    Map<String, Double> getWorkDemand() {
+        return workDemand;
+    }
+
     /** Gets the requests that the node admitted since its start, by client account. */
     Map<String, Long> getAdmitted() {
         return admitted;
--- a/mesh/src/main/java/io/cranberryarch/mesh/PeerLink.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/PeerLink.java
@@ -134,7 +134,7 @@
         for (long id : repeatable) {
             Pending request = pending.remove(id);
             send(id, new CancelMessage());
-            request.callback.accept(ForwardedAnswer.ofFailure(Execution.UNKNOWN, "peer-silent", 0, 0));
+            request.callback.accept(ForwardedAnswer.ofFailure(Execution.UNKNOWN, "peer-silent"));
         }
     }
 
@@ -183,7 +183,7 @@
         }
         Execution execution = isConnected ? Execution.UNKNOWN : Execution.NOT_RUN;
         for (Pending request : lost) {
-            request.callback.accept(ForwardedAnswer.ofFailure(execution, "peer-lost", 0, 0));
+            request.callback.accept(ForwardedAnswer.ofFailure(execution, "peer-lost"));
         }
     }
 
--- a/mesh/src/main/java/io/cranberryarch/mesh/PeerService.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/PeerService.java
@@ -1,6 +1,7 @@
 package io.cranberryarch.mesh;
 
 import io.cranberryarch.context.PeerInfo;
+import io.cranberryarch.decision.serving.WorkDemand;
 import io.cranberryarch.net.EventLoop;
 import io.cranberryarch.net.TcpListener;
 import io.cranberryarch.settings.IniFile;
@@ -50,6 +51,7 @@
     private final RulesService rules;
     private final EventLog log;
     private final QuotaService quotas;
+    private final WorkDemand workDemand;
     private final Map<String, Peer> peers = new LinkedHashMap<>();
     private final Set<PeerLink> links = new LinkedHashSet<>();
     private final Peer own;
@@ -66,7 +68,8 @@
             UpstreamState upstream,
             RulesService rules,
             EventLog log,
-            QuotaService quotas) {
+            QuotaService quotas,
+            WorkDemand workDemand) {
         this.loop = loop;
         this.self = self;
         this.incarnation = incarnation;
@@ -76,6 +79,7 @@
         this.rules = rules;
         this.log = log;
         this.quotas = quotas;
+        this.workDemand = workDemand;
         this.own = new Peer(self);
     }
 
@@ -157,7 +161,7 @@
 
     /** Updates what is known of the own upstream's load, which changes with each request. */
     void refreshOwnLoad() {
-        own.getLoad().onReport(gate.getLimit(), gate.getBusy());
+        own.getLoad().onReport(gate.getLimit(), gate.getBusy(), gate.getFailing());
         own.getLoad().setColdUntilMs(loop.nowMs() + upstream.getColdLeftMs());
     }
 
@@ -277,9 +281,11 @@
                 upstream.isAccepting(),
                 upstream.isKnown() ? gate.getLimit() : 1,
                 gate.getBusy(),
+                gate.getFailing(),
                 upstream.getColdLeftMs(),
                 rules.getVersion(),
                 quotas.getDemandPerS(),
+                workDemand.toReport(loop.nowMs()),
                 quotas.getAdmitted());
     }
 
--- a/mesh/src/main/java/io/cranberryarch/mesh/ServiceLoads.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/ServiceLoads.java
@@ -2,12 +2,14 @@
 
 import io.cranberryarch.decision.serving.LoadShedding;
 import io.cranberryarch.decision.serving.RouteCosts;
+import io.cranberryarch.decision.serving.WorkDemand;
 import io.cranberryarch.net.EventLoop;
 import io.cranberryarch.settings.serving.ServingRules;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.SortedMap;
 
 /** The load of services as this node sees it, and the refusals that follow from it at the entry. */
 final class ServiceLoads {
@@ -15,38 +17,67 @@
     /** The time over which the load of a service is averaged, as call trees reach deep services with a delay. */
     private static final double AVERAGE_MS = 250;
 
+    /** The part of a service's room that new requests may fill; the rest takes up the unevenness of arrivals. */
+    private static final double FILLED_PART = 0.95;
+
     private final EventLoop loop;
     private final PeerService peers;
     private final RouteCosts costs;
+    private final WorkDemand demand;
     private final Map<String, Average> averages = new HashMap<>();
 
-    ServiceLoads(EventLoop loop, PeerService peers, RouteCosts costs) {
+    ServiceLoads(EventLoop loop, PeerService peers, RouteCosts costs, WorkDemand demand) {
         this.loop = loop;
         this.peers = peers;
         this.costs = costs;
+        this.demand = demand;
     }
 
     /**
-     * Decides whether a new call tree is refused.
+     * Decides whether a new call tree is refused, and notes what it asks for.
      *
      * @return the overloaded service, or empty if the request is let in
      */
     Optional<Overload> findOverload(String route, String service, int rank, boolean isReturning, ServingRules rules) {
         List<Integer> ranks = rules.getRanks();
         int position = Math.max(0, ranks.indexOf(rank));
-        double chance = Math.random();
-        for (String used : costs.get(route).keySet()) {
+        Map<String, Double> cost = costs.get(route);
+        demand.add(rank, cost, loop.nowMs());
+        // Requests that were refused before need half the luck of new ones.
+        double chance = isReturning ? Math.random() / 2 : Math.random();
+        for (String used : cost.keySet()) {
             if (!costs.isUsed(route, used) && !used.equals(service)) {
                 continue;
             }
             double load = toLoad(used);
-            if (chance < LoadShedding.toRefusedShare(load, position, ranks.size(), isReturning)) {
-                return Optional.of(new Overload(used, load));
+            double refused = LoadShedding.toRefusedShare(load, position, ranks.size(), isReturning);
+            double served = toServedShare(used, rank);
+            if (chance < refused || chance >= served) {
+                return Optional.of(new Overload(used, load, served));
             }
         }
         return Optional.empty();
     }
 
+    /** Gets the share of requests of a rank that fits into a service, by what is asked for at all nodes. */
+    private double toServedShare(String service, int rank) {
+        long nowMs = loop.nowMs();
+        SortedMap<Integer, Double> slots = demand.toSlots(service, nowMs);
+        for (Peer peer : peers.getPeers()) {
+            if (peer.getLink().isPresent()) {
+                WorkDemand.addReported(peer.getWorkDemand(), service, slots);
+            }
+        }
+        double capacity = 0;
+        PeerService.Places places = peers.getPlaces(service);
+        for (List<Peer> part : List.of(places.near(), places.far())) {
+            for (Peer place : part) {
+                capacity += place.getLoad().toCapacity(nowMs);
+            }
+        }
+        return capacity > 0 ? WorkDemand.toServedShare(slots, rank, FILLED_PART * capacity) : 1;
+    }
+
     /** Gets the averaged load of a service: busy requests by the sum of the limits of its instances. */
     double toLoad(String service) {
         long nowMs = loop.nowMs();
@@ -76,8 +107,9 @@
      *
      * @param service its name
      * @param load its load, 1 when all slots are in use
+     * @param served the share of requests of the rank that fits in
      */
-    record Overload(String service, double load) {}
+    record Overload(String service, double load, double served) {}
 
     /** A moving average. */
     private static final class Average {
--- a/wire/src/main/java/io/cranberryarch/wire/ForwardAnswerMessage.java
+++ b/wire/src/main/java/io/cranberryarch/wire/ForwardAnswerMessage.java
@@ -24,7 +24,8 @@
                 Fields.readBytes(in),
                 Fields.readAmounts(in),
                 in.unpackInt(),
-                in.unpackInt()));
+                in.unpackInt(),
+                in.unpackFloat()));
     }
 
     @Override
@@ -42,5 +43,6 @@
         Fields.writeAmounts(out, answer.usedMs());
         out.packInt(answer.limit());
         out.packInt(answer.busy());
+        out.packFloat((float) answer.failing());
     }
 }
--- a/wire/src/main/java/io/cranberryarch/wire/PeerStatusMessage.java
+++ b/wire/src/main/java/io/cranberryarch/wire/PeerStatusMessage.java
@@ -13,9 +13,11 @@
  * @param isAccepting whether it takes new requests
  * @param limit requests that it runs at once at most
  * @param busy requests that run or wait there
+ * @param failing the share of requests that the upstream fails by itself, from 0 to 1
  * @param coldLeftMs how long it stays slow after its start, in milliseconds
  * @param rulesVersion the version of the rules that the node follows, -1 if it knows none
  * @param demandPerS requests a second that callers of the node ask for, by client account
+ * @param workDemand work that new requests at the node ask of services, in slots by rank and service
  * @param admitted requests that the node admitted since its start, by client account
  */
 public record PeerStatusMessage(
@@ -24,9 +26,11 @@
         boolean isAccepting,
         int limit,
         int busy,
+        double failing,
         long coldLeftMs,
         long rulesVersion,
         Map<String, Double> demandPerS,
+        Map<String, Double> workDemand,
         Map<String, Long> admitted)
         implements Message {
 
@@ -37,9 +41,11 @@
                 in.unpackBoolean(),
                 in.unpackInt(),
                 in.unpackInt(),
+                in.unpackFloat(),
                 in.unpackLong(),
                 in.unpackLong(),
                 Fields.readAmounts(in),
+                Fields.readAmounts(in),
                 Fields.readCounts(in));
     }
 
@@ -55,9 +61,11 @@
         out.packBoolean(isAccepting);
         out.packInt(limit);
         out.packInt(busy);
+        out.packFloat((float) failing);
         out.packLong(coldLeftMs);
         out.packLong(rulesVersion);
         Fields.writeAmounts(out, demandPerS);
+        Fields.writeAmounts(out, workDemand);
         Fields.writeCounts(out, admitted);
     }
 }
