--- a/decision/src/main/java/io/cranberryarch/decision/serving/AccountQuota.java
+++ b/decision/src/main/java/io/cranberryarch/decision/serving/AccountQuota.java
@@ -29,9 +29,17 @@
     /** The demand, as a part of the rate, that is shared out evenly whatever the nodes see. */
     private static final double EVEN_PART = 0.25;
 
+    /**
+     * Attempts of an account, as multiples of its rate, that are considered. Requests that are refused for another
+     * reason give their token back, and without this bound an account that asks for many times its rate would take the
+     * place of others in an overload.
+     */
+    private static final double CONSIDERED_ATTEMPTS = 1.5;
+
     private static final double MS_PER_S = 1_000;
 
     private double tokens;
+    private double attempts;
     private double borrowable;
     private double borrowed;
     private double fleetTokens;
@@ -54,8 +62,9 @@
         demandPerS = getDemandPerS(nowMs) + MS_PER_S / DEMAND_TIME_MS;
         demandAtMs = nowMs;
         fill(limit, share, nowMs);
-        if (tokens >= 1) {
+        if (tokens >= 1 && attempts >= 1) {
             tokens--;
+            attempts--;
         } else if (borrowable >= 1 && toUnused(limit) >= 1) {
             borrowable--;
             borrowed++;
@@ -169,6 +178,12 @@
         return (ownPerS + even / Math.max(1, nodes)) / Math.max(0.001, totalPerS + even);
     }
 
+    /** Gets the attempts a second that are considered: more than the share if others leave much of the rate. */
+    private double toAttemptsPerS(Limit limit, double share) {
+        double lent = Math.max(0, toUnused(limit)) * share;
+        return CONSIDERED_ATTEMPTS * share * limit.ratePerS() + lent;
+    }
+
     private double toUnused(Limit limit) {
         return fleetTokens - Math.max(0, limit.burst() - BORROWED_SLACK * limit.slack());
     }
@@ -178,6 +193,7 @@
         if (!isStarted) {
             isStarted = true;
             tokens = depth;
+            attempts = depth;
             fleetTokens = limit.burst();
             filledAtMs = nowMs;
             return;
@@ -185,6 +201,7 @@
         double elapsedS = (nowMs - filledAtMs) / MS_PER_S;
         filledAtMs = nowMs;
         tokens = Math.max(tokens, Math.min(depth, tokens + share * limit.ratePerS() * elapsedS));
+        attempts = Math.max(attempts, Math.min(depth, attempts + toAttemptsPerS(limit, share) * elapsedS));
         fleetTokens = Math.min(limit.burst(), fleetTokens + limit.ratePerS() * elapsedS);
     }
 
--- a/decision/src/test/java/io/cranberryarch/decision/serving/AccountQuotaTest.java
+++ b/decision/src/test/java/io/cranberryarch/decision/serving/AccountQuotaTest.java
@@ -6,6 +6,7 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.DoubleRange;
 import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
 
 class AccountQuotaTest {
 
@@ -59,4 +60,19 @@
         double allowed = fleet.toCentralRefusedShare() + ALLOWED_LOSS;
         assertTrue(fleet.toRefusedShare() <= allowed, fleet.toRefusedShare() + " refused, " + allowed + " allowed");
     }
+
+    @Test
+    void accountThatAsksForManyTimesItsRateIsNotConsideredEachTime() {
+        AccountQuota quota = new AccountQuota();
+        AccountQuota.Limit limit = new AccountQuota.Limit(100, 100, 80);
+        int considered = 0;
+        for (long nowMs = 0; nowMs < 10_000; nowMs++) {
+            if (quota.tryTake(limit, 1, nowMs)) {
+                considered++;
+                // Every request is refused for another reason, as in an overload.
+                quota.giveBack();
+            }
+        }
+        assertTrue(considered <= 2_000, considered + " of 10,000 requests considered, 1,000 within the rate");
+    }
 }
--- a/mesh/src/main/java/io/cranberryarch/mesh/EntryService.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/EntryService.java
@@ -164,15 +164,14 @@
             }
             service = pickService(route.get());
             int rank = toRank(route.get());
-            if (parent.isEmpty() && shed(known.get(), route.get(), rank)) {
-                return;
-            }
-            // Charged last, so that no token is spent on a request that is refused for another reason.
             Optional<Long> overRateMs = account.flatMap(charged -> quotas.charge(charged, peers));
             if (overRateMs.isPresent()) {
                 refuse(429, "over-rate", overRateMs.get());
                 return;
             }
+            if (parent.isEmpty() && shed(known.get(), route.get(), rank)) {
+                return;
+            }
             forward(route.get(), rank, leftMs);
         }
 
@@ -223,6 +222,7 @@
             if (overload.isEmpty()) {
                 return false;
             }
+            account.ifPresent(quotas::giveBack);
             long retryAfterMs = toOverloadRetryAfterMs();
             returns.onRefused(caller, startMs, startMs + retryAfterMs);
             refuse(503, "overload-of-" + overload.get().service(), retryAfterMs);
--- a/mesh/src/main/java/io/cranberryarch/mesh/PeerLink.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/PeerLink.java
@@ -86,6 +86,10 @@
         return !pending.isEmpty() || !serving.isEmpty();
     }
 
+    boolean isAwaitingAnswers() {
+        return !pending.isEmpty();
+    }
+
     long getSilentMs() {
         return loop.nowMs() - heardAtMs;
     }
--- a/mesh/src/main/java/io/cranberryarch/mesh/PeerService.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/PeerService.java
@@ -30,8 +30,11 @@
     /** Each connection adds this to the interval of statuses, so that their cost stays bounded in a large fleet. */
     private static final long STATUS_INTERVAL_PER_PEER_MS = 15;
 
-    /** Missing statuses after which a peer counts as silent. */
-    private static final int SILENT_INTERVALS = 3;
+    /** Statuses in a row that may be late before a peer counts as silent. */
+    private static final int SILENT_INTERVALS = 2;
+
+    /** How late a status may be while requests wait for the peer. */
+    private static final long LATE_STATUS_MS = 300;
 
     private static final long CONNECT_TIMEOUT_MS = 1_000;
     private static final long FIRST_BACKOFF_MS = 100;
@@ -331,12 +334,14 @@
             broadcastStatus();
         }
         long silentMs = SILENT_INTERVALS * toStatusIntervalMs();
+        long busySilentMs = toStatusIntervalMs() + LATE_STATUS_MS;
         for (PeerLink link : new ArrayList<>(links)) {
             boolean isCurrent = link.getPeer()
                     .flatMap(Peer::getLink)
                     .filter(current -> current == link)
                     .isPresent();
-            if (isCurrent && link.isUsable() && link.getSilentMs() > silentMs) {
+            long allowedMs = link.isAwaitingAnswers() ? busySilentMs : silentMs;
+            if (isCurrent && link.isUsable() && link.getSilentMs() > allowedMs) {
                 onSilent(link);
             } else if (!isCurrent && link.isConnected() && !link.hasPending() && link.getSilentMs() > silentMs) {
                 link.close();
