A node that stops takes nothing new from other nodes

Cause: on SIGTERM the entry became not ready, but the gate took requests of other nodes until the process ended, so that a rolled fleet cut runs and answered 502 for them; found by reading, MeshNodeTest failed first (request hung at the stopping node).

--- a/mesh/src/main/java/io/cranberryarch/mesh/MeshNode.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/MeshNode.java
@@ -150,7 +150,9 @@
         }
         isStopping = true;
         long startMs = loop.nowMs();
-        if (upstream.isLeaving()) {
+        boolean isUpstreamLeaving = upstream.isUpstreamLeaving();
+        upstream.onNodeStopping();
+        if (isUpstreamLeaving) {
             // The machine goes with its upstream; a node that only restarts keeps its entry.
             store.deregister(
                     settings.node(),
--- a/mesh/src/main/java/io/cranberryarch/mesh/UpstreamState.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/UpstreamState.java
@@ -22,6 +22,7 @@
     private long sequence;
     private int slots;
     private boolean isLeaving;
+    private boolean isNodeStopping;
     private boolean isReachable;
     private long coldUntilMs;
     private long reportedAtMs;
@@ -118,6 +119,11 @@
         }
     }
 
+    /** Tells whether the upstream itself has announced its end. */
+    boolean isUpstreamLeaving() {
+        return isLeaving;
+    }
+
     void onReplaced() {
         if (isReachable) {
             isReachable = false;
@@ -136,12 +142,19 @@
         return !instance.isEmpty();
     }
 
+    /** Notes that the node ends while its upstream stays. */
+    void onNodeStopping() {
+        isNodeStopping = true;
+        changed("node-stopping");
+    }
+
     boolean isAccepting() {
-        return isKnown() && !isLeaving && isReachable;
+        return isKnown() && !isLeaving() && isReachable;
     }
 
+    /** Tells whether nothing new may be sent, as the upstream or the node is about to end. */
     boolean isLeaving() {
-        return isLeaving;
+        return isLeaving || isNodeStopping;
     }
 
     String getInstance() {
--- a/mesh/src/test/java/io/cranberryarch/mesh/MeshNodeTest.java
+++ b/mesh/src/test/java/io/cranberryarch/mesh/MeshNodeTest.java
@@ -233,4 +233,18 @@
         near.upstream().execute(() -> near.upstream().respond(exchange, 200, "whole"));
         assertEquals("whole", TestFleet.get(request).body());
     }
+
+    @Test
+    void stoppingNodeTakesNothingNewFromOthersAndEndsWhatRuns() throws Exception {
+        CompletableFuture<HttpExchange> running = new CompletableFuture<>();
+        near.upstream().setBehaviour(running::complete);
+        CompletableFuture<HttpResponse<String>> order = fleet.send(near, "POST", "/order/1", KEY);
+        HttpExchange exchange = TestFleet.get(running);
+        near.loop().execute(near.node()::stop);
+        TestFleet.await(() -> near.status() == 503);
+        assertEquals("instance-of-node-b", send("POST", "/order/2", KEY).body());
+        assertEquals(1, near.upstream().getArrived().size());
+        near.upstream().execute(() -> near.upstream().respond(exchange, 200, "whole"));
+        assertEquals("whole", TestFleet.get(order).body());
+    }
 }
