--- a/decision/src/main/java/io/cranberryarch/decision/serving/AccountQuota.java
+++ b/decision/src/main/java/io/cranberryarch/decision/serving/AccountQuota.java
@@ -44,12 +44,20 @@
     private double borrowed;
     private double fleetTokens;
     private long filledAtMs;
-    private boolean isStarted;
     private double demandPerS;
     private long demandAtMs;
     private double reportedPerS;
     private long admitted;
 
+    /**
+     * Creates the part of a node that starts with empty buckets: what its predecessor held counts as spent.
+     *
+     * @param startedAtMs the start of the node in milliseconds
+     */
+    public AccountQuota(long startedAtMs) {
+        this.filledAtMs = startedAtMs;
+    }
+
     /**
      * Takes a token for a request.
      *
@@ -190,14 +198,6 @@
 
     private void fill(Limit limit, double share, long nowMs) {
         double depth = Math.max(1, share * (limit.burst() + OWN_SLACK * limit.slack()));
-        if (!isStarted) {
-            isStarted = true;
-            tokens = depth;
-            attempts = depth;
-            fleetTokens = limit.burst();
-            filledAtMs = nowMs;
-            return;
-        }
         double elapsedS = (nowMs - filledAtMs) / MS_PER_S;
         filledAtMs = nowMs;
         tokens = Math.max(tokens, Math.min(depth, tokens + share * limit.ratePerS() * elapsedS));
--- a/decision/src/test/java/io/cranberryarch/decision/serving/AccountQuotaTest.java
+++ b/decision/src/test/java/io/cranberryarch/decision/serving/AccountQuotaTest.java
@@ -39,6 +39,26 @@
                 fleet.toBusiestWindow(WINDOW_MS) + " admitted, " + allowed + " allowed");
     }
 
+    @Property(tries = 60, seed = "14")
+    void hotAccountStaysWithinItsLimitWhenManyNodesAreKilledAtOnce(
+            @ForAll @IntRange(min = 2, max = 40) int nodes,
+            @ForAll @DoubleRange(min = 10, max = 400) double ratePerS,
+            @ForAll @DoubleRange(min = 1, max = 8) double hotPart,
+            @ForAll @DoubleRange(min = 0.1, max = 1) double killedPart,
+            @ForAll long seed) {
+        AccountQuota.Limit limit = toLimit(ratePerS);
+        QuotaFleet fleet = new QuotaFleet(limit, nodes, STATUS_INTERVAL_MS, seed);
+        fleet.run(hotPart * ratePerS, 8_000);
+        fleet.restart(killedPart);
+        fleet.run(hotPart * ratePerS, 1_500);
+        fleet.restart(killedPart);
+        fleet.run(hotPart * ratePerS, 5_000);
+        double allowed = ratePerS * WINDOW_MS / 1_000 + limit.burst() + limit.slack();
+        assertTrue(
+                fleet.toBusiestWindow(WINDOW_MS) <= allowed,
+                fleet.toBusiestWindow(WINDOW_MS) + " admitted, " + allowed + " allowed");
+    }
+
     @Property(tries = 30, seed = "12")
     void unevenCallersOfManyNodesAreServedWithinTheRate(
             @ForAll @IntRange(min = 10, max = 30) int nodes,
@@ -63,7 +83,7 @@
 
     @Test
     void accountThatAsksForManyTimesItsRateIsNotConsideredEachTime() {
-        AccountQuota quota = new AccountQuota();
+        AccountQuota quota = new AccountQuota(0);
         AccountQuota.Limit limit = new AccountQuota.Limit(100, 100, 80);
         int considered = 0;
         for (long nowMs = 0; nowMs < 10_000; nowMs++) {
--- a/decision/src/test/java/io/cranberryarch/decision/serving/QuotaFleet.java
+++ b/decision/src/test/java/io/cranberryarch/decision/serving/QuotaFleet.java
@@ -10,6 +10,9 @@
     private static final int STEP_MS = 10;
     private static final long SOON_MS = 100;
 
+    /** The age of the nodes at the begin, by which their buckets are full. */
+    private static final long FILLED_MS = 20_000;
+
     private final AccountQuota.Limit limit;
     private final long statusIntervalMs;
     private final Random random;
@@ -36,7 +39,7 @@
         this.toldAtMs = new long[count];
         double sum = 0;
         for (int i = 0; i < count; i++) {
-            nodes[i] = new AccountQuota();
+            nodes[i] = new AccountQuota(nowMs - FILLED_MS);
             toldAtMs[i] = nowMs - random.nextInt((int) statusIntervalMs);
             weights[i] = 0.3 + random.nextDouble();
             sum += weights[i];
@@ -63,6 +66,16 @@
         }
     }
 
+    /** Kills a part of the nodes, which start again at once and know nothing but the number of nodes. */
+    void restart(double part) {
+        for (int i = 0; i < part * nodes.length; i++) {
+            nodes[i] = new AccountQuota(nowMs);
+            toldAdmitted[i] = 0;
+            toldDemand[i] = 0;
+            toldAtMs[i] = nowMs;
+        }
+    }
+
     double toRefusedShare() {
         return 1 - (double) admittedAtMs.size() / asked;
     }
--- a/mesh/src/main/java/io/cranberryarch/mesh/MeshNode.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/MeshNode.java
@@ -54,7 +54,6 @@
     private MeshSettings settings;
     private HttpServer entryServer;
     private boolean isStopping;
-    private boolean isPeersRead;
     private long storeRetryMs;
 
     /**
@@ -174,7 +173,7 @@
      * @return whether it is ready
      */
     public boolean isReady() {
-        return !isStopping && rules.getRules().isPresent() && isPeersRead;
+        return !isStopping && rules.getRules().isPresent() && peers.isFleetKnown();
     }
 
     private HttpServer bind(InetSocketAddress address, HttpServer.Handler handler) throws IOException {
@@ -228,8 +227,8 @@
         store.readPeers(SharedStore.Callback.of(
                 found -> {
                     storeRetryMs = 0;
-                    isPeersRead = true;
                     peers.learn(found);
+                    peers.onFleetRead();
                 },
                 failure -> retryStore(this::readPeers)));
     }
@@ -240,8 +239,7 @@
     }
 
     private void onReadyQuestion(HttpExchange exchange) {
-        boolean isReady = isReady() || (!isStopping && rules.getRules().isPresent() && peers.countConnected() > 0);
-        exchange.respond(HttpResponseMessage.ofEmpty(isReady ? 200 : 503));
+        exchange.respond(HttpResponseMessage.ofEmpty(isReady() ? 200 : 503));
     }
 
     private void onMetrics(HttpExchange exchange) {
--- a/mesh/src/main/java/io/cranberryarch/mesh/PeerService.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/PeerService.java
@@ -60,6 +60,7 @@
     private final Peer own;
     private Map<String, Places> placesByService = new HashMap<>();
     private TcpListener listener;
+    private boolean isFleetKnown;
     private long statusAtMs;
 
     PeerService(
@@ -152,6 +153,16 @@
         return peers.size() + 1;
     }
 
+    /** Tells whether the node has learned from the store or from a peer which other nodes there are. */
+    boolean isFleetKnown() {
+        return isFleetKnown;
+    }
+
+    /** Notes that the entries of all nodes were read from the store. */
+    void onFleetRead() {
+        isFleetKnown = true;
+    }
+
     int countConnected() {
         int count = 0;
         for (Peer peer : peers.values()) {
@@ -255,6 +266,7 @@
                     + hello.incarnation());
         }
         learn(hello.known());
+        isFleetKnown = true;
     }
 
     /** Of two connections that both nodes opened at once, both keep the one of the node with the smaller name. */
--- a/mesh/src/main/java/io/cranberryarch/mesh/QuotaService.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/QuotaService.java
@@ -20,17 +20,22 @@
     /** The most requests whose tokens are given back between two statuses. */
     private static final long MOST_GIVEN_BACK = 50;
 
+    /** The assumed size of a fleet of which nothing is known yet, larger than most. */
+    private static final int UNKNOWN_FLEET_NODES = 100;
+
     private static final int MS_PER_S = 1_000;
 
     private final EventLoop loop;
     private final Map<String, AccountQuota> quotas = new HashMap<>();
     private final Map<String, Map<String, Long>> admittedByPeer = new HashMap<>();
 
+    private final long startedAtMs;
     private MeshSettings settings;
 
     QuotaService(EventLoop loop, MeshSettings settings) {
         this.loop = loop;
         this.settings = settings;
+        this.startedAtMs = loop.nowMs();
     }
 
     void setSettings(MeshSettings changed) {
@@ -46,7 +51,7 @@
         if (!account.isLimited()) {
             return Optional.empty();
         }
-        AccountQuota quota = quotas.computeIfAbsent(account.name(), unused -> new AccountQuota());
+        AccountQuota quota = quotas.computeIfAbsent(account.name(), unused -> new AccountQuota(startedAtMs));
         long nowMs = loop.nowMs();
         AccountQuota.Limit limit = toLimit(account);
         double share = toShare(account, quota, peers);
@@ -114,7 +119,8 @@
         for (Peer peer : peers.getPeers()) {
             total += peer.getDemandPerS(account.name());
         }
-        return AccountQuota.toShare(own, total, peers.countNodes(), account.ratePerS());
+        int nodes = peers.isFleetKnown() ? peers.countNodes() : UNKNOWN_FLEET_NODES;
+        return AccountQuota.toShare(own, total, nodes, account.ratePerS());
     }
 
     private AccountQuota.Limit toLimit(AccountRule account) {
