--- a/decision/src/test/java/io/cranberryarch/decision/serving/BurstOnDeepServiceTest.java
+++ b/decision/src/test/java/io/cranberryarch/decision/serving/BurstOnDeepServiceTest.java
@@ -47,6 +47,13 @@
                 1, WorkDemand.toServedShare(archive, 2, 400), "reads that do not reach the full service are served");
     }
 
+    @Test
+    void treesThatNeedAServiceOutOfReachAreRefusedBeforeTheyRun() {
+        WorkDemand demand = new WorkDemand();
+        demand.add(0, ORDER, 0);
+        assertEquals(0, WorkDemand.toServedShare(demand.toSlots("stock", 0), 0, 0));
+    }
+
     @Test
     void demandFadesWhenTheBurstEnds() {
         WorkDemand demand = new WorkDemand();
--- a/mesh/src/main/java/io/cranberryarch/mesh/ServiceLoads.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/ServiceLoads.java
@@ -75,7 +75,8 @@
                 capacity += place.getLoad().toCapacity(nowMs);
             }
         }
-        return capacity > 0 ? WorkDemand.toServedShare(slots, rank, FILLED_PART * capacity) : 1;
+        // Without any instance in reach the call tree would run up to here and fail.
+        return WorkDemand.toServedShare(slots, rank, FILLED_PART * capacity);
     }
 
     /** Gets the averaged load of a service: busy requests by the sum of the limits of its instances. */
