--- a/mesh/src/main/java/io/cranberryarch/mesh/EventLog.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/EventLog.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
 import org.tinylog.Logger;
 
 /**
@@ -22,6 +23,7 @@
 
     private final BlockingQueue<String> queue = new ArrayBlockingQueue<>(QUEUE_LINES);
     private final AtomicLong leftOut = new AtomicLong();
+    private final Consumer<String> sink;
     private final Thread writer;
     private int requestLinesPerS;
     private long windowStartMs;
@@ -34,6 +36,17 @@
      * @param requestLinesPerS the most lines about requests a second
      */
     public EventLog(int requestLinesPerS) {
+        this(requestLinesPerS, Logger::info);
+    }
+
+    /**
+     * Creates a log that writes its lines elsewhere.
+     *
+     * @param requestLinesPerS the most lines about requests a second
+     * @param sink takes each line, on the log's thread
+     */
+    EventLog(int requestLinesPerS, Consumer<String> sink) {
+        this.sink = sink;
         this.requestLinesPerS = requestLinesPerS;
         this.writer = new Thread(this::write, "log");
         writer.setDaemon(true);
@@ -108,11 +121,11 @@
                 isLast = true;
             }
             queue.drainTo(batch);
-            batch.forEach(Logger::info);
+            batch.forEach(sink);
             batch.clear();
             long count = leftOut.getAndSet(0);
             if (count > 0) {
-                Logger.info("event=log-left-out lines={}", count);
+                sink.accept("event=log-left-out lines=" + count);
             }
             System.out.flush();
         }
--- a/mesh/src/test/java/io/cranberryarch/mesh/MeshNodeTest.java
+++ b/mesh/src/test/java/io/cranberryarch/mesh/MeshNodeTest.java
@@ -247,4 +247,28 @@
         near.upstream().execute(() -> near.upstream().respond(exchange, 200, "whole"));
         assertEquals("whole", TestFleet.get(order).body());
     }
+
+    @Test
+    void everyRefusalHasALineAndNoLineBearsAKey() throws Exception {
+        send("GET", "/read/7", "key-of-nobody");
+        send("GET", "/nowhere/7", KEY);
+        near.upstream().setBehaviour(near.upstream()::reject);
+        far.upstream().setBehaviour(far.upstream()::reject);
+        send("POST", "/order/7", KEY);
+        near.upstream().setBehaviour(MeshNodeTest::answerWithoutIdentifier);
+        far.upstream().setBehaviour(MeshNodeTest::answerWithoutIdentifier);
+        send("POST", "/order/8", KEY);
+        fleet.setAccounts(new AccountRule("ana", List.of(KEY), Optional.empty(), 1, 1));
+        fleet.publish(3);
+        TestFleet.await(() -> send("GET", "/read/7", KEY).statusCode() == 429);
+        for (String reason : List.of(
+                "outcome=key-rejected",
+                "outcome=no-route",
+                "outcome=rejected-by-upstream",
+                "outcome=answer-without-id",
+                "outcome=over-rate")) {
+            TestFleet.await(() -> fleet.getLines().stream().anyMatch(line -> line.contains(reason)));
+        }
+        assertFalse(fleet.getLines().stream().anyMatch(line -> line.contains("key-of-")));
+    }
 }
--- a/mesh/src/test/java/io/cranberryarch/mesh/TestFleet.java
+++ b/mesh/src/test/java/io/cranberryarch/mesh/TestFleet.java
@@ -22,6 +22,7 @@
 import java.util.Optional;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 
 /** Nodes with their upstreams on loopback, which share a store. The document of the rules is just their version. */
@@ -35,6 +36,7 @@
     private final FakeStore store = new FakeStore();
     private final HttpClient client =
             HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    private final List<String> lines = new CopyOnWriteArrayList<>();
     private final List<Member> members = new ArrayList<>();
     private volatile List<AccountRule> accounts =
             List.of(new AccountRule("ana", List.of("key-of-ana"), Optional.empty(), 0, 0));
@@ -63,7 +65,7 @@
                 0.1,
                 20,
                 1_000);
-        EventLog log = closer.add(new EventLog(1_000));
+        EventLog log = closer.add(new EventLog(1_000, lines::add));
         FakeStore.View view = store.connect(loop);
         MeshNode node = new MeshNode(loop, settings, TestNames.NAMES, view, this::readRules, log);
         Member member = new Member(settings, loop, node, upstream, view, new Thread(loop::run, name));
@@ -87,6 +89,11 @@
         }
     }
 
+    /** Gets the lines that all nodes have logged so far. */
+    List<String> getLines() {
+        return lines;
+    }
+
     void setAccounts(AccountRule... newAccounts) {
         accounts = List.of(newAccounts);
     }
