Nodes that end for good are forgotten at once, as are nodes whose address another one has taken

Cause: borrowing of rates needs all known nodes in reach; a node removed with its upstream stayed known for two minutes, and with it refusals within the rate. Found by reading; MeshNodeTest covers the planned end.

--- a/app/src/main/java/io/cranberryarch/app/ServeCommand.java
+++ b/app/src/main/java/io/cranberryarch/app/ServeCommand.java
@@ -13,6 +13,7 @@
 import io.cranberryarch.platform.PlatformStore;
 import io.cranberryarch.platform.UpstreamReports;
 import io.cranberryarch.settings.SettingsException;
+import java.io.BufferedOutputStream;
 import java.io.FileDescriptor;
 import java.io.FileOutputStream;
 import java.io.IOException;
@@ -66,7 +67,7 @@
         }
         // Lines of the log leave in batches; the log's own thread flushes them.
         System.setOut(new PrintStream(
-                new java.io.BufferedOutputStream(new FileOutputStream(FileDescriptor.out), LOG_BUFFER_BYTES),
+                new BufferedOutputStream(new FileOutputStream(FileDescriptor.out), LOG_BUFFER_BYTES),
                 false,
                 StandardCharsets.UTF_8));
         System.setProperty("tinylog.writer.stream", "out");
--- a/decision/src/main/java/io/cranberryarch/decision/serving/RouteCosts.java
+++ b/decision/src/main/java/io/cranberryarch/decision/serving/RouteCosts.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Learns what the requests of each route ask of each service, over their whole call trees. Not thread-safe.
@@ -63,7 +64,7 @@
      *
      * @param routes the names of the routes that exist
      */
-    public void retain(java.util.Set<String> routes) {
+    public void retain(Set<String> routes) {
         byRoute.keySet().retainAll(routes);
     }
 }
--- a/mesh/src/main/java/io/cranberryarch/mesh/Peer.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/Peer.java
@@ -21,6 +21,7 @@
     private Map<String, Double> demandPerS = new HashMap<>();
     private Map<String, Double> workDemand = Map.of();
     private Map<String, Long> admitted = Map.of();
+    private boolean isEnding;
     private boolean isDialing;
     private long backoffMs;
     private long lostAtMs;
@@ -100,6 +101,15 @@
         return admitted;
     }
 
+    /** Tells whether the node said that it ends for good. */
+    boolean isEnding() {
+        return isEnding;
+    }
+
+    void setEnding() {
+        isEnding = true;
+    }
+
     boolean isDialing() {
         return isDialing;
     }
--- a/mesh/src/main/java/io/cranberryarch/mesh/PeerService.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/PeerService.java
@@ -223,6 +223,10 @@
             log.state("event=peer-lost peer=" + peer.getInfo().node() + " zone="
                     + peer.getInfo().zone() + " cause=\"" + cause + "\"");
         }
+        if (peer.isEnding()) {
+            forget(peer);
+            return;
+        }
         if (link.isDialer()) {
             peer.setDialing(false);
         }
@@ -249,6 +253,8 @@
         }
         Peer peer = peers.computeIfAbsent(hello.self().node(), unused -> new Peer(hello.self()));
         peer.setInfo(hello.self());
+        // Another node has the address now that was dialed.
+        link.getPeer().filter(dialed -> dialed != peer).ifPresent(this::forget);
         link.setPeer(peer);
         link.setIncarnation(hello.incarnation());
         if (!link.isDialer()) {
@@ -279,6 +285,9 @@
     }
 
     private void onStatus(Peer peer, PeerStatusMessage status) {
+        if (status.isEnding()) {
+            peer.setEnding();
+        }
         if (peer.onStatus(status, loop.nowMs())) {
             placesByService = new HashMap<>();
             log.state("event=instance-changed peer=" + peer.getInfo().node() + " instance=" + status.instance()
@@ -294,6 +303,7 @@
                 upstream.getInstance(),
                 upstream.getService(),
                 upstream.isAccepting(),
+                upstream.isEndingForGood(),
                 upstream.isKnown() ? gate.getLimit() : 1,
                 gate.getBusy(),
                 gate.getFailing(),
@@ -374,6 +384,13 @@
         dial(peer);
     }
 
+    private void forget(Peer peer) {
+        peers.remove(peer.getInfo().node());
+        placesByService = new HashMap<>();
+        log.state("event=peer-forgotten peer=" + peer.getInfo().node() + " zone="
+                + peer.getInfo().zone() + " ending=" + peer.isEnding());
+    }
+
     private void forgetLost() {
         long nowMs = loop.nowMs();
         peers.values()
--- a/mesh/src/main/java/io/cranberryarch/mesh/UpstreamState.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/UpstreamState.java
@@ -119,6 +119,11 @@
         }
     }
 
+    /** Tells whether the node ends together with its upstream, and not only for a restart. */
+    boolean isEndingForGood() {
+        return isNodeStopping && isLeaving;
+    }
+
     /** Tells whether the upstream itself has announced its end. */
     boolean isUpstreamLeaving() {
         return isLeaving;
--- a/mesh/src/test/java/io/cranberryarch/mesh/MeshNodeTest.java
+++ b/mesh/src/test/java/io/cranberryarch/mesh/MeshNodeTest.java
@@ -271,4 +271,16 @@
         }
         assertFalse(fleet.getLines().stream().anyMatch(line -> line.contains("key-of-")));
     }
+
+    @Test
+    void nodeThatEndsWithItsUpstreamIsForgottenAndOneThatRestartsIsNot() throws Exception {
+        TestFleet.Member third = fleet.add("node-c", "zone-a");
+        fleet.start(third);
+        TestFleet.await(() -> near.metrics().contains("peers_connected 2"));
+        third.report(2, true);
+        third.loop().execute(third.node()::stop);
+        TestFleet.await(() -> fleet.getLines().stream()
+                .anyMatch(line -> line.startsWith("event=peer-forgotten peer=node-c") && line.contains("ending=true")));
+        assertFalse(fleet.getLines().stream().anyMatch(line -> line.startsWith("event=peer-forgotten peer=node-b")));
+    }
 }
--- a/net/src/main/java/io/cranberryarch/net/HttpServerConnection.java
+++ b/net/src/main/java/io/cranberryarch/net/HttpServerConnection.java
@@ -4,6 +4,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -25,8 +26,7 @@
     /** Requests of one connection that run side by side; the rest is left unread. */
     private static final int MAX_PIPELINED = 32;
 
-    private static final byte[] CONTINUE =
-            "HTTP/1.1 100 Continue\r\n\r\n".getBytes(java.nio.charset.StandardCharsets.US_ASCII);
+    private static final byte[] CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
 
     private final EventLoop loop;
     private final TcpConnection connection;
@@ -113,7 +113,7 @@
     }
 
     private void parseRequests(ByteBuffer bytes) {
-        while (bytes.hasRemaining() && !isClosed && !isRefused()) {
+        while (bytes.hasRemaining() && !isClosed && !isLastRequestTaken()) {
             if (exchanges.size() >= MAX_PIPELINED) {
                 connection.setReading(false);
                 return;
@@ -126,12 +126,13 @@
                 return;
             }
         }
-        if (isRefused()) {
+        if (isLastRequestTaken()) {
             bytes.position(bytes.limit());
         }
     }
 
-    private boolean isRefused() {
+    /** Tells whether nothing behind the requests that were taken is read any more. */
+    private boolean isLastRequestTaken() {
         return isLastTaken && !exchanges.isEmpty() && exchanges.peekLast().isLast;
     }
 
--- a/net/src/main/java/io/cranberryarch/net/TcpConnection.java
+++ b/net/src/main/java/io/cranberryarch/net/TcpConnection.java
@@ -9,6 +9,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Optional;
+import org.tinylog.Logger;
 
 /** A TCP connection on an event loop. Used from the loop's thread only. */
 public final class TcpConnection implements EventLoop.Selectable {
@@ -254,7 +255,7 @@
             try {
                 channel.close();
             } catch (IOException e) {
-                org.tinylog.Logger.debug(e, "event=close-failed");
+                Logger.debug(e, "event=close-failed");
             }
         }
         handler.onClosed(failure);
--- a/net/src/main/java/io/cranberryarch/net/TcpListener.java
+++ b/net/src/main/java/io/cranberryarch/net/TcpListener.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
@@ -36,7 +37,7 @@
         ServerSocketChannel channel = ServerSocketChannel.open();
         try {
             channel.configureBlocking(false);
-            channel.setOption(java.net.StandardSocketOptions.SO_REUSEADDR, true);
+            channel.setOption(StandardSocketOptions.SO_REUSEADDR, true);
             channel.bind(address, BACKLOG);
             TcpListener listener = new TcpListener(loop, channel, factory);
             channel.register(loop.getSelector(), SelectionKey.OP_ACCEPT, listener);
--- a/wire/src/main/java/io/cranberryarch/wire/PeerStatusMessage.java
+++ b/wire/src/main/java/io/cranberryarch/wire/PeerStatusMessage.java
@@ -11,6 +11,7 @@
  * @param instance the identifier of the upstream's incarnation, empty if the node knows none
  * @param service the service of the upstream
  * @param isAccepting whether it takes new requests
+ * @param isEnding whether the node is about to end for good, with its upstream
  * @param limit requests that it runs at once at most
  * @param busy requests that run or wait there
  * @param failing the share of requests that the upstream fails by itself, from 0 to 1
@@ -24,6 +25,7 @@
         String instance,
         String service,
         boolean isAccepting,
+        boolean isEnding,
         int limit,
         int busy,
         double failing,
@@ -39,6 +41,7 @@
                 in.unpackString(),
                 in.unpackString(),
                 in.unpackBoolean(),
+                in.unpackBoolean(),
                 in.unpackInt(),
                 in.unpackInt(),
                 in.unpackFloat(),
@@ -59,6 +62,7 @@
         out.packString(instance);
         out.packString(service);
         out.packBoolean(isAccepting);
+        out.packBoolean(isEnding);
         out.packInt(limit);
         out.packInt(busy);
         out.packFloat((float) failing);
