The gate of a stopping node takes requests for 2 s more; the log ends at once

The end of the log delayed the process by up to 0.4 s. Ruled out: closing the entry sooner (the platform needs two missed questions). After: not measured yet.

--- a/mesh/src/main/java/io/cranberryarch/mesh/EventLog.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/EventLog.java
@@ -96,6 +96,7 @@
     @Override
     public void close() {
         isClosed = true;
+        writer.interrupt();
         try {
             writer.join(FLUSH_INTERVAL_MS * 2);
         } catch (InterruptedException e) {
--- a/mesh/src/main/java/io/cranberryarch/mesh/MeshNode.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/MeshNode.java
@@ -30,6 +30,9 @@
     /** How long the entry takes connections after a stop began, until the platform has seen that it is not ready. */
     private static final long STOP_ACCEPTING_AFTER_MS = 2_500;
 
+    /** How long the gate takes requests of other nodes after a stop began, so that most have ended with the entry. */
+    private static final long STOP_GATE_AFTER_MS = 2_000;
+
     /** The time before the end of the grace period at which what is left is cut. */
     private static final long STOP_MARGIN_MS = 500;
 
@@ -149,9 +152,11 @@
         }
         isStopping = true;
         long startMs = loop.nowMs();
-        boolean isUpstreamLeaving = upstream.isUpstreamLeaving();
-        upstream.onNodeStopping();
-        if (isUpstreamLeaving) {
+        if (!upstream.isUpstreamLeaving()) {
+            // The upstream goes on, and so does its gate as long as the entry has to stay open.
+            loop.schedule(STOP_GATE_AFTER_MS, upstream::onNodeStopping);
+        } else {
+            upstream.onNodeStopping();
             // The machine goes with its upstream; a node that only restarts keeps its entry.
             store.deregister(
                     settings.node(),
