--- a/app/src/main/java/io/cranberryarch/app/ServeCommand.java
+++ b/app/src/main/java/io/cranberryarch/app/ServeCommand.java
@@ -87,7 +87,7 @@
                 settings.control(),
                 () -> HttpLimits.DEFAULT,
                 reports::onRequest,
-                status -> log.state("event=report-malformed status=" + status));
+                (status, cause) -> log.state("event=report-malformed status=" + status + " cause=\"" + cause + "\""));
         node.start();
         Signals.handle("HUP", () -> loop.execute(() -> reload(node, log)));
         loop.repeat(RELOAD_CHECK_INTERVAL_MS, () -> reloadIfChanged(node, log));
--- a/decision/src/main/java/io/cranberryarch/decision/serving/LoadShedding.java
+++ b/decision/src/main/java/io/cranberryarch/decision/serving/LoadShedding.java
@@ -1,17 +1,23 @@
 package io.cranberryarch.decision.serving;
 
 /**
- * Decides which share of new requests is refused at their entry while a service that they need is overloaded. The least
- * important rank is refused first, and wholly before the next one is touched; inside a rank, new requests are refused
- * before those that were refused earlier and came back.
+ * Decides which share of new requests is refused at their entry while requests pile up at a service that they need. The
+ * least important rank is refused first, and wholly before the next one is touched; inside a rank, new requests are
+ * refused before those that were refused earlier and came back.
+ *
+ * <p>This corrects what {@link WorkDemand} lets in by its estimate. Waiting requests of a less important rank do not
+ * delay the more important ones, so that these are refused only at a much longer queue.
  */
 public final class LoadShedding {
 
     /** The load of a service, as busy requests by its limit, from which the least important rank is refused. */
-    private static final double FIRST_LOAD = 1.0;
+    private static final double FIRST_LOAD = 1.2;
 
     /** The additional load over which a rank goes from no refusals to refusals only, half of it for new requests. */
-    private static final double RANK_BAND = 0.2;
+    private static final double RANK_BAND = 0.4;
+
+    /** The additional load from which the next more important rank is refused. */
+    private static final double RANK_STEP = 1.0;
 
     private LoadShedding() {}
 
@@ -25,7 +31,7 @@
      * @return a share from 0 to 1
      */
     public static double toRefusedShare(double load, int position, int ranks, boolean isReturning) {
-        double start = FIRST_LOAD + RANK_BAND * Math.max(0, ranks - 1 - position);
+        double start = FIRST_LOAD + RANK_STEP * Math.max(0, ranks - 1 - position);
         double width = RANK_BAND / 2;
         return Math.max(0, Math.min(1, (load - start - (isReturning ? width : 0)) / width));
     }
--- a/mesh/src/main/java/io/cranberryarch/mesh/EntryService.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/EntryService.java
@@ -131,6 +131,7 @@
         private String service = "";
         private Optional<Forwarder.Attempts> attempts = Optional.empty();
         private Optional<EventLoop.Timer> timeout = Optional.empty();
+        private String details = "";
         private boolean isDone;
 
         Entry(HttpExchange exchange) {
@@ -225,6 +226,14 @@
             account.ifPresent(quotas::giveBack);
             long retryAfterMs = toOverloadRetryAfterMs();
             returns.onRefused(caller, startMs, startMs + retryAfterMs);
+            details = String.format(
+                    Locale.ROOT,
+                    " rank=%d returning=%b load=%.2f served-share=%.2f retry-after-ms=%d",
+                    rank,
+                    isReturning,
+                    overload.get().load(),
+                    overload.get().served(),
+                    retryAfterMs);
             refuse(503, "overload-of-" + overload.get().service(), retryAfterMs);
             return true;
         }
@@ -341,7 +350,7 @@
                 log.state("event=request-ended request=" + requestId + " route=" + routeName + " service=" + service
                         + " account=" + account.map(AccountRule::name).orElse("-") + " nested=" + parent.isPresent()
                         + " status=" + status + " outcome=" + outcome + " took-ms=" + tookMs + " rules-version="
-                        + rules.getVersion());
+                        + rules.getVersion() + details);
             }
         }
     }
--- a/mesh/src/main/java/io/cranberryarch/mesh/MeshNode.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/MeshNode.java
@@ -187,7 +187,7 @@
                 address,
                 this::toLimits,
                 handler,
-                status -> log.state("event=request-malformed status=" + status)));
+                (status, cause) -> log.state("event=request-malformed status=" + status + " cause=\"" + cause + "\"")));
     }
 
     private HttpLimits toLimits() {
--- a/net/src/main/java/io/cranberryarch/net/HttpServer.java
+++ b/net/src/main/java/io/cranberryarch/net/HttpServer.java
@@ -5,7 +5,7 @@
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.Set;
-import java.util.function.Consumer;
+import java.util.function.BiConsumer;
 import java.util.function.Supplier;
 import org.tinylog.Logger;
 
@@ -21,11 +21,11 @@
     private static final long IDLE_CHECK_INTERVAL_MS = 1_000;
 
     private final Handler handler;
-    private final Consumer<Integer> onMalformed;
+    private final BiConsumer<Integer, String> onMalformed;
     private final Set<HttpServerConnection> connections = new LinkedHashSet<>();
     private TcpListener listener;
 
-    private HttpServer(Handler handler, Consumer<Integer> onMalformed) {
+    private HttpServer(Handler handler, BiConsumer<Integer, String> onMalformed) {
         this.handler = handler;
         this.onMalformed = onMalformed;
     }
@@ -37,7 +37,7 @@
      * @param address the address; port 0 lets the system choose
      * @param limits the limits in force
      * @param handler handles requests
-     * @param onMalformed learns the status of each request that was refused because it could not be read
+     * @param onMalformed learns status and cause of each request that was refused because it could not be read
      * @return the server
      * @throws IOException if the address cannot be bound
      */
@@ -46,7 +46,7 @@
             InetSocketAddress address,
             Supplier<HttpLimits> limits,
             Handler handler,
-            Consumer<Integer> onMalformed)
+            BiConsumer<Integer, String> onMalformed)
             throws IOException {
         HttpServer server = new HttpServer(handler, onMalformed);
         server.listener = TcpListener.bind(loop, address, connection -> {
@@ -104,8 +104,8 @@
         return handler;
     }
 
-    void onMalformed(int status) {
-        onMalformed.accept(status);
+    void onMalformed(int status, String cause) {
+        onMalformed.accept(status, cause);
     }
 
     void remove(HttpServerConnection connection) {
--- a/net/src/main/java/io/cranberryarch/net/HttpServerConnection.java
+++ b/net/src/main/java/io/cranberryarch/net/HttpServerConnection.java
@@ -86,7 +86,7 @@
                 connection.close();
             }
         } else if (quietMs > limits.get().headerTimeoutMs()) {
-            refuse(408);
+            refuse(408, "request did not arrive in time");
         }
     }
 
@@ -146,12 +146,12 @@
         }
     }
 
-    private void refuse(int status) {
+    private void refuse(int status, String cause) {
         Exchange exchange = new Exchange(null, loop.nowMs());
         exchange.isLast = true;
         isLastTaken = true;
         exchanges.add(exchange);
-        server.onMalformed(status);
+        server.onMalformed(status, cause);
         exchange.respond(HttpResponseMessage.ofEmpty(status));
     }
 
@@ -259,7 +259,7 @@
                     || HttpHeaders.find(headers, "Content-Length").isPresent();
             if (parser.getContentLength() > limits.get().bodyBytes()) {
                 isTooLarge = true;
-                refuse(413);
+                refuse(413, "body too large");
                 return true;
             }
             boolean isExpecting = HttpHeaders.find(headers, "Expect").isPresent();
@@ -279,7 +279,7 @@
             body.write(part, 0, part.length);
             if (body.size() > limits.get().bodyBytes() && !isTooLarge) {
                 isTooLarge = true;
-                refuse(413);
+                refuse(413, "body too large");
                 return true;
             }
             return false;
@@ -314,7 +314,7 @@
 
         @Override
         public void badMessage(HttpException failure) {
-            refuse(failure.getCode());
+            refuse(failure.getCode(), String.valueOf(failure.getReason()));
         }
     }
 }
