--- a/net/src/test/java/io/cranberryarch/net/HttpServerTest.java
+++ b/net/src/test/java/io/cranberryarch/net/HttpServerTest.java
@@ -10,6 +10,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -190,4 +191,52 @@
             readUntil(socket, "<199>");
         }
     }
+
+    @Test
+    void anySplitOfPipelinedRequestsIsReadWhole() throws Exception {
+        for (int seed = 0; seed < 30; seed++) {
+            Random random = new Random(seed);
+            StringBuilder requests = new StringBuilder();
+            int count = 150;
+            for (int i = 0; i < count; i++) {
+                String body = "b".repeat(random.nextInt(200));
+                requests.append("POST /").append(i).append(" HTTP/1.1\r\nHost: h\r\nContent-Length: ");
+                requests.append(body.length()).append("\r\n\r\n").append(body);
+            }
+            Thread answering = new Thread(() -> answerInRandomOrder(count, random.nextLong()));
+            answering.start();
+            try (Socket socket = new Socket("127.0.0.1", port)) {
+                int sent = 0;
+                while (sent < requests.length()) {
+                    int end = Math.min(requests.length(), sent + 1 + random.nextInt(3_000));
+                    send(socket, requests.substring(sent, end));
+                    sent = end;
+                }
+                readUntil(socket, "</" + (count - 1) + ">");
+            }
+            answering.join();
+            assertEquals(List.of(), new ArrayList<>(malformed), "seed " + seed);
+        }
+    }
+
+    /** Answers some requests at once and others later. */
+    private void answerInRandomOrder(int count, long seed) {
+        Random random = new Random(seed);
+        List<HttpExchange> open = new ArrayList<>();
+        try {
+            for (int taken = 0; taken < count || !open.isEmpty(); ) {
+                HttpExchange next = taken < count ? arrived.poll(1, TimeUnit.MILLISECONDS) : null;
+                if (next != null) {
+                    taken++;
+                    open.add(next);
+                }
+                if (!open.isEmpty() && (next == null || random.nextBoolean())) {
+                    HttpExchange exchange = open.remove(random.nextInt(open.size()));
+                    respond(exchange, "<" + exchange.getRequest().target() + ">");
+                }
+            }
+        } catch (Exception e) {
+            throw new IllegalStateException(e);
+        }
+    }
 }
