--- a/net/src/main/java/io/cranberryarch/net/HttpClientConnection.java
+++ b/net/src/main/java/io/cranberryarch/net/HttpClientConnection.java
@@ -50,6 +50,8 @@
     public HttpClientConnection(EventLoop loop, InetSocketAddress address, int maxBodyBytes) {
         this.loop = loop;
         this.maxBodyBytes = maxBodyBytes;
+        // The cache of header fields takes some 100 KB for each connection.
+        this.parser.setHeaderCacheSize(0);
         this.connection = TcpConnection.connect(loop, address, this);
     }
 
--- a/net/src/main/java/io/cranberryarch/net/HttpServerConnection.java
+++ b/net/src/main/java/io/cranberryarch/net/HttpServerConnection.java
@@ -46,6 +46,8 @@
         this.server = server;
         this.limits = limits;
         this.parser = new HttpParser(new RequestReader(), limits.get().headerBytes());
+        // The cache of header fields takes some 100 KB for each connection.
+        this.parser.setHeaderCacheSize(0);
         this.activeAtMs = loop.nowMs();
     }
 
--- a/net/src/test/java/io/cranberryarch/net/HttpServerTest.java
+++ b/net/src/test/java/io/cranberryarch/net/HttpServerTest.java
@@ -239,4 +239,33 @@
             throw new IllegalStateException(e);
         }
     }
+
+    @Test
+    void idleConnectionsHoldLittleMemory() throws Exception {
+        int count = 400;
+        List<Socket> sockets = new ArrayList<>();
+        long before = toUsedBytes();
+        try {
+            for (int i = 0; i < count; i++) {
+                Socket socket = new Socket("127.0.0.1", port);
+                sockets.add(socket);
+                for (int j = 0; j < 2; j++) {
+                    send(socket, "GET /a HTTP/1.1\r\nHost: shop.example\r\nX-Request: 7\r\nX-Timeout: 6000\r\n\r\n");
+                    respond(takeRequest(), "<one>");
+                    readUntil(socket, "<one>");
+                }
+            }
+            long eachBytes = (toUsedBytes() - before) / count;
+            assertTrue(eachBytes < 20_000, eachBytes + " bytes for each connection");
+        } finally {
+            for (Socket socket : sockets) {
+                socket.close();
+            }
+        }
+    }
+
+    private static long toUsedBytes() {
+        System.gc();
+        return Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
+    }
 }
