The leave of an upstream that a node does not know yet is kept

The next report made it accept again. The same could come from a probe, whose unknown start made the next report a new incarnation. Now leaves are kept by identifier and start. Ruled out: a late report (sequence checked), other nodes (the request came through the node itself).

--- a/mesh/src/main/java/io/cranberryarch/mesh/UpstreamState.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/UpstreamState.java
@@ -2,7 +2,9 @@
 
 import io.cranberryarch.net.EventLoop;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 
 /** What the node believes of the upstream on its machine, from the upstream's own reports. */
 public final class UpstreamState {
@@ -13,8 +15,12 @@
     /** Reports in a row that may be late before the upstream counts as gone. */
     private static final int MISSING_REPORTS = 3;
 
+    /** The start of an incarnation of which only the identifier is known. */
+    private static final long UNKNOWN_START = 0;
+
     private final EventLoop loop;
     private final EventLog log;
+    private final Map<String, Long> left = new HashMap<>();
     private final List<Runnable> listeners = new ArrayList<>();
     private String instance = "";
     private String service = "";
@@ -53,7 +59,9 @@
      * @param report the report
      */
     public void onReport(UpstreamReport report) {
-        boolean isNewInstance = !report.instance().equals(instance) || report.startedAtMs() > startedAtMs;
+        boolean isStartUnknown = report.instance().equals(instance) && startedAtMs == UNKNOWN_START;
+        boolean isNewInstance =
+                !report.instance().equals(instance) || (report.startedAtMs() > startedAtMs && !isStartUnknown);
         if (isNewInstance && report.startedAtMs() < startedAtMs) {
             log.state("event=report-ignored reason=older-incarnation instance=" + report.instance() + " started-at-ms="
                     + report.startedAtMs() + " known-instance=" + instance + " known-started-at-ms=" + startedAtMs);
@@ -64,14 +72,18 @@
                     + report.sequence() + " known-sequence=" + sequence);
             return;
         }
-        boolean isChanged = isNewInstance || isLeaving != report.isLeaving() || slots != report.slots() || !isReachable;
+        if (report.isLeaving()) {
+            left.merge(report.instance(), report.startedAtMs(), Math::max);
+        }
+        // Leaving is final for an incarnation, also if a later report says otherwise.
+        boolean isNowLeaving = hasLeft(report.instance(), report.startedAtMs());
+        boolean isChanged = isNewInstance || isLeaving != isNowLeaving || slots != report.slots() || !isReachable;
         instance = report.instance();
         service = report.service();
         startedAtMs = report.startedAtMs();
         sequence = report.sequence();
         slots = report.slots();
-        // Leaving is final for an incarnation, also if a later report says otherwise.
-        isLeaving = report.isLeaving() || (isLeaving && !isNewInstance);
+        isLeaving = isNowLeaving;
         isReachable = true;
         reportedAtMs = loop.nowMs();
         coldUntilMs = reportedAtMs + report.coldLeftMs();
@@ -87,10 +99,16 @@
      * @param leavingStartedAtMs its start, in milliseconds since 1970, 0 if unknown
      */
     public void onLeave(String leaving, long leavingStartedAtMs) {
-        if (!leaving.equals(instance) || (leavingStartedAtMs > 0 && leavingStartedAtMs < startedAtMs)) {
+        // Noted also for an incarnation that the node does not know yet, as the leave is acknowledged in any case.
+        left.merge(leaving, leavingStartedAtMs, Math::max);
+        boolean isOlder = leavingStartedAtMs != UNKNOWN_START && leavingStartedAtMs < startedAtMs;
+        if (!leaving.equals(instance) || isOlder) {
             log.state("event=leave-ignored instance=" + leaving + " known-instance=" + instance);
             return;
         }
+        if (leavingStartedAtMs == UNKNOWN_START) {
+            left.put(leaving, startedAtMs);
+        }
         if (!isLeaving) {
             isLeaving = true;
             changed("deregistered");
@@ -106,6 +124,7 @@
         service = probedService;
         slots = SLOTS_BEFORE_REPORT;
         isReachable = true;
+        isLeaving = left.containsKey(probed);
         reportedAtMs = loop.nowMs();
         changed("probed");
     }
@@ -129,6 +148,11 @@
         return isLeaving;
     }
 
+    /** Tells whether an incarnation, or a later one under the same identifier, was said to leave. */
+    private boolean hasLeft(String reported, long reportedStartMs) {
+        return left.containsKey(reported) && reportedStartMs <= left.get(reported);
+    }
+
     void onReplaced() {
         if (isReachable) {
             isReachable = false;
