--- a/decision/src/test/java/io/cranberryarch/decision/serving/AccountQuotaTest.java
+++ b/decision/src/test/java/io/cranberryarch/decision/serving/AccountQuotaTest.java
@@ -13,8 +13,8 @@
     private static final long WINDOW_MS = 5_000;
     private static final long STATUS_INTERVAL_MS = 700;
 
-    /** A third of the excess over a rate that the platform tolerates. */
-    private static final double ALLOWED_LOSS = 0.1 / 3;
+    /** The part of the requests that may be refused beyond what one bucket that sees all of them refuses. */
+    private static final double ALLOWED_LOSS = 0.02;
 
     private static AccountQuota.Limit toLimit(double ratePerS) {
         double slack = 0.1 * (ratePerS * WINDOW_MS / 1_000 + ratePerS) + 20;
@@ -65,7 +65,7 @@
             @ForAll @DoubleRange(min = 10, max = 300) double ratePerS,
             @ForAll long seed) {
         QuotaFleet fleet = new QuotaFleet(toLimit(ratePerS), nodes, STATUS_INTERVAL_MS, seed);
-        fleet.run(0.9 * ratePerS, 60_000);
+        fleet.run(0.9 * ratePerS, 30_000);
         double allowed = fleet.toCentralRefusedShare() + ALLOWED_LOSS;
         assertTrue(fleet.toRefusedShare() <= allowed, fleet.toRefusedShare() + " refused, " + allowed + " allowed");
     }
@@ -76,7 +76,7 @@
             @ForAll @DoubleRange(min = 10, max = 300) double ratePerS,
             @ForAll long seed) {
         QuotaFleet fleet = new QuotaFleet(toLimit(ratePerS), nodes, STATUS_INTERVAL_MS, seed);
-        fleet.run(1.1 * ratePerS, 60_000);
+        fleet.run(1.1 * ratePerS, 30_000);
         double allowed = fleet.toCentralRefusedShare() + ALLOWED_LOSS;
         assertTrue(fleet.toRefusedShare() <= allowed, fleet.toRefusedShare() + " refused, " + allowed + " allowed");
     }
--- a/decision/src/test/java/io/cranberryarch/decision/serving/RunRegistryTest.java
+++ b/decision/src/test/java/io/cranberryarch/decision/serving/RunRegistryTest.java
@@ -19,7 +19,7 @@
         long deadlineMs = registry.add("run", 5_000);
         assertEquals(Optional.of("run"), registry.find(deadlineMs));
         assertEquals(Optional.of("run"), registry.find(deadlineMs + 2));
-        assertEquals(Optional.empty(), registry.find(deadlineMs + 5_000));
+        assertEquals(Optional.empty(), registry.find(deadlineMs + 500));
         assertEquals(Optional.empty(), registry.find(deadlineMs - 500));
         registry.remove(deadlineMs);
         assertTrue(registry.isEmpty());
