--- a/net/src/main/java/io/cranberryarch/net/HttpExchange.java
+++ b/net/src/main/java/io/cranberryarch/net/HttpExchange.java
@@ -1,5 +1,8 @@
 package io.cranberryarch.net;
 
+import java.net.InetAddress;
+import java.util.Optional;
+
 /** A request that waits for its response. Used from the loop's thread only. */
 public interface HttpExchange {
 
@@ -10,6 +13,13 @@
      */
     HttpRequestMessage getRequest();
 
+    /**
+     * Gets the address of the client.
+     *
+     * @return the address at the other end of the connection, or empty if the connection is closed
+     */
+    Optional<InetAddress> getRemoteAddress();
+
     /**
      * Gets the time at which the last byte of the request was read.
      *
--- a/net/src/main/java/io/cranberryarch/net/HttpServerConnection.java
+++ b/net/src/main/java/io/cranberryarch/net/HttpServerConnection.java
@@ -3,6 +3,7 @@
 import io.cranberryarch.context.HeaderField;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.net.InetAddress;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
@@ -194,6 +195,11 @@
             return request;
         }
 
+        @Override
+        public Optional<InetAddress> getRemoteAddress() {
+            return connection.getRemoteAddress();
+        }
+
         @Override
         public long getReceivedAtMs() {
             return receivedAtMs;
--- a/net/src/main/java/io/cranberryarch/net/TcpConnection.java
+++ b/net/src/main/java/io/cranberryarch/net/TcpConnection.java
@@ -1,6 +1,7 @@
 package io.cranberryarch.net;
 
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
@@ -88,6 +89,15 @@
         }
     }
 
+    /**
+     * Gets the address of the peer.
+     *
+     * @return the address, or empty if the connection is closed or not yet open
+     */
+    public Optional<InetAddress> getRemoteAddress() {
+        return Optional.ofNullable(channel.socket().getInetAddress());
+    }
+
     /**
      * Counts the bytes that wait to be sent.
      *
