Fixture of processes reads a ready line only once it is whole

Cause: NodeCommand prints its ready line with printf, which writes it in parts; ProcessFleet took a part for the whole, and then found no port or half of one.

--- a/app/src/test/java/io/cranberryarch/app/ProcessFleet.java
+++ b/app/src/test/java/io/cranberryarch/app/ProcessFleet.java
@@ -24,6 +24,7 @@
 
     static final String OWNER_TOKEN = "owner-token";
 
+    private static final String READY = "ready ";
     private static final long WAIT_MS = 60_000;
     private static final long POLL_MS = 20;
 
@@ -170,17 +171,20 @@
 
     private String readReady(String name) {
         try {
-            for (String line : Files.readAllLines(folder.resolve(name + ".out"), StandardCharsets.UTF_8)) {
-                if (line.startsWith("ready ")) {
-                    return line.substring("ready ".length());
-                }
-            }
-            return "";
+            return findReady(Files.readString(folder.resolve(name + ".out"), StandardCharsets.UTF_8));
         } catch (IOException e) {
             return "";
         }
     }
 
+    /** Finds what a process said when it was ready; a line that is not written to its end does not count. */
+    static String findReady(String output) {
+        int start = output.startsWith(READY) ? 0 : output.indexOf("\n" + READY) + 1;
+        int end = output.indexOf('\n', start);
+        boolean isFound = output.startsWith(READY, start) && end >= 0;
+        return isFound ? output.substring(start + READY.length(), end) : "";
+    }
+
     private int readPort(String instance, String face) {
         for (String word : readReady(instance).split(" ")) {
             if (word.startsWith(face + "=")) {
