Nested calls count only from the own machine, and up to 200 ms late

All calls of upstreams came from the machine's own address and on open routes. So a keyless request counts as nested only from that address, and up to 200 ms late.

MeshNodeTest.keylessRequestOfAnotherMachineIsNoCallOfARun fails before (served). The test of nested calls sends what is left of the deadline, as upstreams do.

--- a/decision/src/main/java/io/cranberryarch/decision/serving/RunRegistry.java
+++ b/decision/src/main/java/io/cranberryarch/decision/serving/RunRegistry.java
@@ -24,8 +24,11 @@
     /** How far the deadline of a nested call may lie before that of its run. */
     private static final long EARLY_MS = 2;
 
-    /** How far it may lie behind, as the request reaches the upstream later than it was sent. */
-    private static final long LATE_MS = 500;
+    /**
+     * How far it may lie behind, as the request reaches the upstream later than it was sent, and the call this node.
+     * Of the calls of a day with slow machines, 99.3 % came within this time, see docs/measurements/platform.md.
+     */
+    private static final long LATE_MS = 200;
 
     private final TreeMap<Long, T> byDeadline = new TreeMap<>();
 
--- a/mesh/src/main/java/io/cranberryarch/mesh/EntryService.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/EntryService.java
@@ -14,6 +14,7 @@
 import io.cranberryarch.settings.serving.AccountRule;
 import io.cranberryarch.settings.serving.ServingRoute;
 import io.cranberryarch.settings.serving.ServingRules;
+import java.net.InetAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -155,7 +156,7 @@
             }
             long leftMs = toTimeoutMs(route.get());
             if (!authenticate(known.get(), route.get())) {
-                if (isKeyless() && gate.isActive()) {
+                if (isKeyless() && isFromOwnMachine() && gate.isActive()) {
                     // It may be a call of a run that this node does not know, e.g. one from before its start.
                     refuse(503, "no-parent", UNAVAILABLE_RETRY_AFTER_MS);
                 } else {
@@ -190,12 +191,18 @@
                 return account.isPresent() || target.isOpen();
             }
             String text = request.findHeader(names.timeoutMs()).orElse("");
-            if (isKeyless() && text.matches("\\d{1,9}")) {
+            if (isKeyless() && isFromOwnMachine() && text.matches("\\d{1,9}")) {
                 parent = gate.findParent(startMs + Long.parseLong(text));
             }
             return target.isOpen() || parent.isPresent();
         }
 
+        /** Tells whether the request came from the machine of the node, where the upstream is. */
+        private boolean isFromOwnMachine() {
+            InetAddress own = settings.entry().getAddress();
+            return exchange.getRemoteAddress().map(own::equals).orElse(false);
+        }
+
         private boolean isKeyless() {
             return request.findHeader("Authorization").isEmpty();
         }
--- a/mesh/src/test/java/io/cranberryarch/mesh/MeshNodeTest.java
+++ b/mesh/src/test/java/io/cranberryarch/mesh/MeshNodeTest.java
@@ -8,11 +8,16 @@
 import io.cranberryarch.net.HttpRequestMessage;
 import io.cranberryarch.net.HttpResponseMessage;
 import io.cranberryarch.settings.serving.AccountRule;
+import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -181,15 +186,41 @@
         CompletableFuture<HttpResponse<String>> root = fleet.send(near, "GET", "/read/7", KEY);
         HttpExchange exchange = TestFleet.get(running);
         near.upstream().setBehaviour(nested -> near.upstream().respond(nested, 200, "nested"));
-        String leftMs =
-                exchange.getRequest().findHeader(TestNames.NAMES.timeoutMs()).orElseThrow();
-        assertEquals(
-                "nested",
-                TestFleet.get(fleet.send(near, "GET", "/read/8", "", leftMs)).body());
+        TestFleet.await(() -> TestFleet.get(fleet.send(near, "GET", "/read/8", "", toLeftMs(exchange)))
+                .body()
+                .equals("nested"));
         near.upstream().execute(() -> near.upstream().respond(exchange, 200, "root"));
         assertEquals("root", TestFleet.get(root).body());
     }
 
+    @Test
+    void keylessRequestOfAnotherMachineIsNoCallOfARun() throws Exception {
+        CompletableFuture<HttpExchange> running = new CompletableFuture<>();
+        near.upstream().setBehaviour(running::complete);
+        CompletableFuture<HttpResponse<String>> root = fleet.send(near, "GET", "/read/7", KEY);
+        HttpExchange exchange = TestFleet.get(running);
+        near.upstream().setBehaviour(nested -> near.upstream().respond(nested, 200, "nested"));
+        int port = near.settings().entry().getPort();
+        try (Socket client = new Socket()) {
+            client.bind(new InetSocketAddress("127.0.0.2", 0));
+            client.connect(new InetSocketAddress("127.0.0.1", port));
+            String head = "GET /read/8 HTTP/1.1\r\nHost: 127.0.0.1\r\n" + TestNames.NAMES.timeoutMs() + ": "
+                    + toLeftMs(exchange) + "\r\nConnection: close\r\n\r\n";
+            client.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+            String answer = new String(client.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+            assertTrue(answer.startsWith("HTTP/1.1 401 "), answer);
+        }
+        root.cancel(true);
+    }
+
+    /** Gets what is left of the time that an upstream was given for a request. */
+    private static String toLeftMs(HttpExchange exchange) {
+        long givenMs = Long.parseLong(
+                exchange.getRequest().findHeader(TestNames.NAMES.timeoutMs()).orElseThrow());
+        long passedMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime()) - exchange.getReceivedAtMs();
+        return String.valueOf(givenMs - passedMs);
+    }
+
     @Test
     void newerRulesReachANodeThatCannotReadTheStoreAndOlderOnesAreNotTaken() throws Exception {
         far.store().setAway(true);
@@ -215,10 +246,14 @@
     void accountOverItsRateIsToldWhenToComeBack() throws Exception {
         fleet.setAccounts(new AccountRule("ana", List.of(KEY), Optional.empty(), 1, 1));
         fleet.publish(3);
-        TestFleet.await(() -> send("GET", "/read/7", KEY).statusCode() == 429);
-        HttpResponse<String> answer = send("GET", "/read/7", KEY);
-        assertEquals(429, answer.statusCode());
-        assertTrue(Double.parseDouble(answer.headers().firstValue("Retry-After").orElseThrow()) > 0);
+        AtomicReference<HttpResponse<String>> answer = new AtomicReference<>();
+        TestFleet.await(() -> {
+            answer.set(send("GET", "/read/7", KEY));
+            return answer.get().statusCode() == 429;
+        });
+        assertTrue(Double.parseDouble(
+                        answer.get().headers().firstValue("Retry-After").orElseThrow())
+                > 0);
     }
 
     @Test
