Refusals of unreadable requests bear a body; metrics of attempts, budgets and ages

All refusals of the node are made in one place (Refusals), and now say whether the request has run.

Nodes now bind port 0 in tests and tell the fixture and their peers what they got.

--- a/app/src/main/java/io/cranberryarch/app/ServeCommand.java
+++ b/app/src/main/java/io/cranberryarch/app/ServeCommand.java
@@ -6,6 +6,7 @@
 import io.cranberryarch.mesh.MeshSettings;
 import io.cranberryarch.net.EventLoop;
 import io.cranberryarch.net.HttpLimits;
+import io.cranberryarch.net.HttpResponseMessage;
 import io.cranberryarch.net.HttpServer;
 import io.cranberryarch.operator.ExitCodes;
 import io.cranberryarch.platform.OperatorDocument;
@@ -82,12 +83,10 @@
                 new OperatorDocument(),
                 log);
         UpstreamReports reports = new UpstreamReports(node.getUpstream());
-        HttpServer.bind(
-                loop,
-                settings.control(),
-                () -> HttpLimits.DEFAULT,
-                reports::onRequest,
-                (status, cause) -> log.state("event=report-malformed status=" + status + " cause=\"" + cause + "\""));
+        HttpServer.bind(loop, settings.control(), () -> HttpLimits.DEFAULT, reports::onRequest, (status, cause) -> {
+            log.state("event=report-malformed status=" + status + " cause=\"" + cause + "\"");
+            return HttpResponseMessage.ofEmpty(status);
+        });
         node.start();
         Signals.handle("HUP", () -> loop.execute(() -> reload(node, log)));
         loop.repeat(RELOAD_CHECK_INTERVAL_MS, () -> reloadIfChanged(node, log));
--- a/decision/src/main/java/io/cranberryarch/decision/serving/RepeatBudget.java
+++ b/decision/src/main/java/io/cranberryarch/decision/serving/RepeatBudget.java
@@ -83,6 +83,16 @@
         return true;
     }
 
+    /**
+     * Gets the repeats that are left.
+     *
+     * @param nodes the number of nodes in the fleet
+     * @return repeats as of the last send, below 0 if repeated runs used more than was left
+     */
+    public double getLeft(int nodes) {
+        return getTokens(nodes);
+    }
+
     private double getTokens(int nodes) {
         return isStarted ? tokens : toFree(nodes);
     }
--- a/mesh/src/main/java/io/cranberryarch/mesh/EntryService.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/EntryService.java
@@ -15,7 +15,6 @@
 import io.cranberryarch.settings.serving.ServingRoute;
 import io.cranberryarch.settings.serving.ServingRules;
 import java.net.InetAddress;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
@@ -315,20 +314,9 @@
         }
 
         private void refuse(int status, String reason, long retryAfterMs) {
-            List<HeaderField> headers = new ArrayList<>();
-            if (!requestId.isEmpty()) {
-                headers.add(new HeaderField(names.requestId(), requestId));
-            }
-            if (retryAfterMs > 0 && (status == 503 || status == 429)) {
-                double seconds = retryAfterMs / 1_000.0;
-                headers.add(new HeaderField("Retry-After", String.format(Locale.ROOT, "%.3f", seconds)));
-            }
-            if (status == 401) {
-                headers.add(new HeaderField("WWW-Authenticate", "Bearer"));
-            }
-            headers.add(new HeaderField("Content-Type", "application/json"));
-            String body = "{\"reason\":\"" + reason + "\"}";
-            respond(new HttpResponseMessage(status, headers, body.getBytes(StandardCharsets.US_ASCII)), reason);
+            List<HeaderField> headers =
+                    requestId.isEmpty() ? List.of() : List.of(new HeaderField(names.requestId(), requestId));
+            respond(Refusals.of(status, reason, retryAfterMs, headers), reason);
         }
 
         private void respond(HttpResponseMessage response, String outcome) {
--- a/mesh/src/main/java/io/cranberryarch/mesh/EventLog.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/EventLog.java
@@ -23,6 +23,7 @@
 
     private final BlockingQueue<String> queue = new ArrayBlockingQueue<>(QUEUE_LINES);
     private final AtomicLong leftOut = new AtomicLong();
+    private final AtomicLong leftOutBefore = new AtomicLong();
     private final Consumer<String> sink;
     private final Thread writer;
     private int requestLinesPerS;
@@ -92,6 +93,15 @@
         return false;
     }
 
+    /**
+     * Counts the lines that were not written, for their rate or since the queue was full.
+     *
+     * @return the number of lines since the start
+     */
+    public long countLeftOut() {
+        return leftOutBefore.get() + leftOut.get();
+    }
+
     /** Writes what is queued and ends the thread. */
     @Override
     public void close() {
@@ -125,6 +135,7 @@
             batch.forEach(sink);
             batch.clear();
             long count = leftOut.getAndSet(0);
+            leftOutBefore.addAndGet(count);
             if (count > 0) {
                 sink.accept("event=log-left-out lines=" + count);
             }
--- a/mesh/src/main/java/io/cranberryarch/mesh/Forwarder.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/Forwarder.java
@@ -28,17 +28,19 @@
     private final EventLoop loop;
     private final PeerService peers;
     private final Gate gate;
+    private final MeshMetrics metrics;
     private final EventLog log;
     private final Map<String, RepeatBudget> budgets = new HashMap<>();
     private final Map<String, LatencyEstimate> latencies = new HashMap<>();
 
     private MeshSettings settings;
 
-    Forwarder(EventLoop loop, MeshSettings settings, PeerService peers, Gate gate, EventLog log) {
+    Forwarder(EventLoop loop, MeshSettings settings, PeerService peers, Gate gate, MeshMetrics metrics, EventLog log) {
         this.loop = loop;
         this.settings = settings;
         this.peers = peers;
         this.gate = gate;
+        this.metrics = metrics;
         this.log = log;
     }
 
@@ -70,8 +72,12 @@
     }
 
     private RepeatBudget getBudget(String service) {
-        return budgets.computeIfAbsent(
-                service, unused -> new RepeatBudget(settings.repeatRatio(), settings.repeatSlack()));
+        return budgets.computeIfAbsent(service, unused -> {
+            metrics.gauge(
+                    "repeat_budget_left{service=\"" + service + "\"}",
+                    () -> Math.floor(budgets.get(service).getLeft(peers.countNodes())));
+            return new RepeatBudget(settings.repeatRatio(), settings.repeatSlack());
+        });
     }
 
     /** The attempts of one request, one after the other. */
@@ -125,6 +131,7 @@
             Peer peer = place.get();
             tried.add(peer.getInfo().node());
             int number = ++sent;
+            metrics.count(number == 1 ? "attempts{kind=\"first\"}" : "attempts{kind=\"repeat\"}");
             long startMs = loop.nowMs();
             ForwardedRequest attempt = request.toAttempt(Math.max(1, deadlineMs - startMs), number > 1);
             underWay.put(number, () -> {});
@@ -227,7 +234,12 @@
         }
 
         private boolean tryRepeat() {
-            return getBudget(request.service()).tryRepeat(peers.countNodes(), request.rank(), loop.nowMs());
+            boolean isAllowed =
+                    getBudget(request.service()).tryRepeat(peers.countNodes(), request.rank(), loop.nowMs());
+            if (!isAllowed) {
+                metrics.count("repeats_over_budget{service=\"" + request.service() + "\"}");
+            }
+            return isAllowed;
         }
 
         private boolean mayRepeat(ForwardedAnswer answer) {
@@ -244,8 +256,7 @@
                 redirects++;
                 return redirects <= MAX_REDIRECTS;
             }
-            return isRunAllowed()
-                    && getBudget(request.service()).tryRepeat(peers.countNodes(), request.rank(), loop.nowMs());
+            return isRunAllowed() && tryRepeat();
         }
 
         /** Tells whether a further instance may run the request, besides those that may have. */
--- a/mesh/src/main/java/io/cranberryarch/mesh/MeshMetrics.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/MeshMetrics.java
@@ -43,9 +43,12 @@
         counter.inc();
     }
 
-    /** Adds a value that is read when the metrics are fetched. */
+    /** Adds a value that is read when the metrics are fetched, unless there is one of that name. */
     void gauge(String name, Gauge<Number> value) {
-        registry.registerGauge(name, value);
+        boolean isKnown = registry.getGauges().containsKey(name);
+        if (!isKnown && registry.getGauges().size() < MAX_SERIES) {
+            registry.registerGauge(name, value);
+        }
     }
 
     /** Writes all metrics, one a line. */
--- a/mesh/src/main/java/io/cranberryarch/mesh/MeshNode.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/MeshNode.java
@@ -10,6 +10,7 @@
 import io.cranberryarch.net.HttpLimits;
 import io.cranberryarch.net.HttpResponseMessage;
 import io.cranberryarch.net.HttpServer;
+import io.cranberryarch.settings.IniFile;
 import io.cranberryarch.settings.serving.RequestLimits;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -51,11 +52,13 @@
     private final PeerService peers;
     private final EntryService entry;
     private final MeshMetrics metrics = new MeshMetrics();
-    private final PeerInfo self;
     private final QuotaService quotas;
     private final Forwarder forwarder;
     private MeshSettings settings;
+    private PeerInfo self;
     private HttpServer entryServer;
+    private HttpServer readyServer;
+    private HttpServer metricsServer;
     private boolean isStopping;
     private long storeRetryMs;
 
@@ -80,7 +83,7 @@
         this.settings = settings;
         this.store = store;
         this.log = log;
-        this.self = new PeerInfo(settings.node(), settings.zone(), toText(settings.peers()));
+        this.self = new PeerInfo(settings.node(), settings.zone(), IniFile.toText(settings.peers()));
         upstream = new UpstreamState(loop, log);
         rules = new RulesService(loop, store, reader, log);
         gate = new Gate(loop, settings, names, upstream, log);
@@ -89,7 +92,7 @@
         long incarnation = System.currentTimeMillis();
         peers = new PeerService(
                 loop, self, incarnation, gate, new CompactHeaders(names), upstream, rules, log, quotas, workDemand);
-        forwarder = new Forwarder(loop, settings, peers, gate, log);
+        forwarder = new Forwarder(loop, settings, peers, gate, metrics, log);
         RouteCosts costs = new RouteCosts();
         ServiceLoads loads = new ServiceLoads(loop, peers, costs, workDemand);
         entry = new EntryService(
@@ -98,12 +101,21 @@
         rules.addListener(peers::broadcastStatus);
         rules.addListener(this::probeUpstream);
         loop.repeat(REPORT_CHECK_INTERVAL_MS, () -> upstream.checkReports(this.settings.reportIntervalMs()));
+        addGauges();
+    }
+
+    private void addGauges() {
         metrics.gauge("rules_version", rules::getVersion);
+        metrics.gauge("rules_age_ms", rules::getAgeMs);
+        metrics.gauge("store_contact_age_ms", rules::getStoreAgeMs);
+        metrics.gauge("peers_known", () -> peers.countNodes() - 1);
         metrics.gauge("peers_connected", peers::countConnected);
+        metrics.gauge("upstream_report_age_ms", upstream::getReportAgeMs);
         metrics.gauge("requests_in_progress", entry::countInProgress);
         metrics.gauge("gate_busy", gate::getBusy);
         metrics.gauge("gate_waiting", gate::getWaiting);
         metrics.gauge("gate_limit", gate::getLimit);
+        metrics.gauge("log_lines_left_out", log::countLeftOut);
     }
 
     /**
@@ -121,15 +133,15 @@
      * @throws IOException if a port cannot be bound
      */
     public void start() throws IOException {
-        peers.start(settings.peers());
+        self = peers.start(settings.peers());
         closer.add(peers);
         entryServer = bind(settings.entry(), entry::onRequest);
-        bind(settings.ready(), this::onReadyQuestion);
-        bind(settings.metrics(), this::onMetrics);
+        readyServer = bind(settings.ready(), this::onReadyQuestion);
+        metricsServer = bind(settings.metrics(), this::onMetrics);
         rules.start();
         register();
         log.state("event=node-started node=" + settings.node() + " zone=" + settings.zone() + " service="
-                + settings.service() + " entry=" + toText(settings.entry()));
+                + settings.service() + " entry=" + IniFile.toText(entryServer.getAddress()));
     }
 
     /**
@@ -146,6 +158,36 @@
         log.setRequestLinesPerS(changed.logLinesPerS());
     }
 
+    /**
+     * Gets the address for callers, once the node is started.
+     *
+     * @return the bound address
+     * @throws IOException if it is closed
+     */
+    public InetSocketAddress getEntryAddress() throws IOException {
+        return entryServer.getAddress();
+    }
+
+    /**
+     * Gets the address that tells whether the node is ready, once the node is started.
+     *
+     * @return the bound address
+     * @throws IOException if it is closed
+     */
+    public InetSocketAddress getReadyAddress() throws IOException {
+        return readyServer.getAddress();
+    }
+
+    /**
+     * Gets the address of the metrics, once the node is started.
+     *
+     * @return the bound address
+     * @throws IOException if it is closed
+     */
+    public InetSocketAddress getMetricsAddress() throws IOException {
+        return metricsServer.getAddress();
+    }
+
     /** Stops gracefully: the loop ends once no request is in progress, or shortly before the grace period ends. */
     public void stop() {
         if (isStopping) {
@@ -183,12 +225,13 @@
     }
 
     private HttpServer bind(InetSocketAddress address, HttpServer.Handler handler) throws IOException {
-        return closer.add(HttpServer.bind(
-                loop,
-                address,
-                this::toLimits,
-                handler,
-                (status, cause) -> log.state("event=request-malformed status=" + status + " cause=\"" + cause + "\"")));
+        return closer.add(HttpServer.bind(loop, address, this::toLimits, handler, this::refuseMalformed));
+    }
+
+    private HttpResponseMessage refuseMalformed(int status, String cause) {
+        metrics.count("requests_malformed{status=\"" + status + "\"}");
+        log.state("event=request-malformed status=" + status + " cause=\"" + cause + "\"");
+        return Refusals.of(status, Refusals.MALFORMED, 0, List.of());
     }
 
     private HttpLimits toLimits() {
@@ -252,8 +295,4 @@
         byte[] body = metrics.toText().getBytes(StandardCharsets.UTF_8);
         exchange.respond(new HttpResponseMessage(200, List.of(new HeaderField("Content-Type", "text/plain")), body));
     }
-
-    private static String toText(InetSocketAddress address) {
-        return address.getAddress().getHostAddress() + ":" + address.getPort();
-    }
 }
--- a/mesh/src/main/java/io/cranberryarch/mesh/PeerService.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/PeerService.java
@@ -46,7 +46,6 @@
     private static final long CHECK_INTERVAL_MS = 100;
 
     private final EventLoop loop;
-    private final PeerInfo self;
     private final long incarnation;
     private final Gate gate;
     private final CompactHeaders compact;
@@ -60,6 +59,7 @@
     private final Peer own;
     private Map<String, Places> placesByService = new HashMap<>();
     private TcpListener listener;
+    private PeerInfo self;
     private boolean isFleetKnown;
     private long statusAtMs;
 
@@ -87,17 +87,24 @@
         this.own = new Peer(self);
     }
 
-    void start(InetSocketAddress address) throws IOException {
+    /**
+     * Binds the port for peers.
+     *
+     * @return what the other nodes are told of this one
+     */
+    PeerInfo start(InetSocketAddress address) throws IOException {
         listener = TcpListener.bind(loop, address, connection -> {
             PeerLink link = PeerLink.accept(loop, this, connection);
             links.add(link);
             return link;
         });
+        self = new PeerInfo(self.node(), self.zone(), IniFile.toText(listener.getAddress()));
         upstream.addListener(() -> {
             placesByService = new HashMap<>();
             broadcastStatus();
         });
         loop.repeat(CHECK_INTERVAL_MS, this::check);
+        return self;
     }
 
     CompactHeaders getCompact() {
--- a/mesh/src/main/java/io/cranberryarch/mesh/RulesService.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/RulesService.java
@@ -29,12 +29,16 @@
     private long retryMs;
     private long peerRequestAtMs;
     private boolean isStoreLost;
+    private long storeAnsweredAtMs;
+    private long changedAtMs;
 
     RulesService(EventLoop loop, SharedStore store, RulesReader reader, EventLog log) {
         this.loop = loop;
         this.store = store;
         this.reader = reader;
         this.log = log;
+        this.storeAnsweredAtMs = loop.nowMs();
+        this.changedAtMs = loop.nowMs();
     }
 
     void addListener(Runnable listener) {
@@ -53,6 +57,16 @@
         return rules.map(ServingRules::getVersion).orElse(-1L);
     }
 
+    /** Gets the milliseconds since the rules in force were taken, or since the start if there are none. */
+    long getAgeMs() {
+        return loop.nowMs() - changedAtMs;
+    }
+
+    /** Gets the milliseconds since the store last answered; it does so within {@link #WAIT_MS}. */
+    long getStoreAgeMs() {
+        return loop.nowMs() - storeAnsweredAtMs;
+    }
+
     Optional<byte[]> getDocument() {
         return document;
     }
@@ -82,6 +96,7 @@
                 + " routes=" + read.getRoutes().size() + " accounts="
                 + read.getAccounts().size());
         rules = Optional.of(read);
+        changedAtMs = loop.nowMs();
         document = Optional.of(bytes);
         for (Runnable listener : listeners) {
             listener.run();
@@ -136,6 +151,7 @@
 
     private void onStoreAnswered() {
         retryMs = 0;
+        storeAnsweredAtMs = loop.nowMs();
         if (isStoreLost) {
             isStoreLost = false;
             log.state("event=store-regained version-in-force=" + getVersion());
--- a/mesh/src/main/java/io/cranberryarch/mesh/UpstreamState.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/UpstreamState.java
@@ -186,6 +186,11 @@
         return isLeaving || isNodeStopping;
     }
 
+    /** Gets the milliseconds since the upstream last reported. */
+    long getReportAgeMs() {
+        return loop.nowMs() - reportedAtMs;
+    }
+
     String getInstance() {
         return instance;
     }
--- a/mesh/src/test/java/io/cranberryarch/mesh/MeshNodeTest.java
+++ b/mesh/src/test/java/io/cranberryarch/mesh/MeshNodeTest.java
@@ -200,7 +200,7 @@
         CompletableFuture<HttpResponse<String>> root = fleet.send(near, "GET", "/read/7", KEY);
         HttpExchange exchange = TestFleet.get(running);
         near.upstream().setBehaviour(nested -> near.upstream().respond(nested, 200, "nested"));
-        int port = near.settings().entry().getPort();
+        int port = near.getEntryPort();
         try (Socket client = new Socket()) {
             client.bind(new InetSocketAddress("127.0.0.2", 0));
             client.connect(new InetSocketAddress("127.0.0.1", port));
@@ -242,6 +242,35 @@
         assertEquals(200, send("GET", "/read/7", "other-key").statusCode());
     }
 
+    @Test
+    void requestThatCannotBeReadIsRefusedWithAReasonAndCounted() throws Exception {
+        try (Socket client = new Socket("127.0.0.1", near.getEntryPort())) {
+            client.getOutputStream()
+                    .write("GET /read/7 HTTP/1.1\r\nHost a\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+            String answer = new String(client.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+            assertTrue(answer.startsWith("HTTP/1.1 400 "), answer);
+            assertTrue(answer.endsWith("{\"reason\":\"request-malformed\",\"execution\":\"not-run\"}"), answer);
+        }
+        assertTrue(near.metrics().contains("requests_malformed{status=\"400\"} 1"), near.metrics());
+    }
+
+    @Test
+    void metricsTellAttemptsBudgetsAndAges() throws Exception {
+        near.upstream().setBehaviour(MeshNodeTest::answerWithoutIdentifier);
+        assertEquals(200, send("GET", "/read/7", KEY).statusCode());
+        String metrics = near.metrics();
+        for (String name : List.of(
+                "attempts{kind=\"first\"} 1",
+                "attempts{kind=\"repeat\"} 1",
+                "repeat_budget_left{service=\"stock\"} ",
+                "rules_age_ms ",
+                "store_contact_age_ms ",
+                "upstream_report_age_ms ",
+                "log_lines_left_out 0")) {
+            assertTrue(metrics.contains(name), name + " is not in " + metrics);
+        }
+    }
+
     @Test
     void accountOverItsRateIsToldWhenToComeBack() throws Exception {
         fleet.setAccounts(new AccountRule("ana", List.of(KEY), Optional.empty(), 1, 1));
--- a/mesh/src/test/java/io/cranberryarch/mesh/TestFleet.java
+++ b/mesh/src/test/java/io/cranberryarch/mesh/TestFleet.java
@@ -9,9 +9,9 @@
 import io.cranberryarch.settings.serving.ServingRoute;
 import io.cranberryarch.settings.serving.ServingRules;
 import io.cranberryarch.settings.serving.WeightedService;
-import java.net.InetAddress;
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -30,6 +30,9 @@
 
     static final String ROUTE_HOST = "shop.example";
 
+    /** Lets the system choose a port. */
+    private static final InetSocketAddress ANY_PORT = new InetSocketAddress("127.0.0.1", 0);
+
     private static final long PATIENCE_MS = 30_000;
 
     private final Closer closer = new Closer();
@@ -49,14 +52,14 @@
                 name,
                 zone,
                 "stock",
-                pickAddress(),
-                pickAddress(),
-                pickAddress(),
-                pickAddress(),
-                pickAddress(),
+                ANY_PORT,
+                ANY_PORT,
+                ANY_PORT,
+                ANY_PORT,
+                ANY_PORT,
                 upstream.getAddress(),
                 60_000,
-                pickAddress(),
+                ANY_PORT,
                 List.of(),
                 10_000,
                 0.2,
@@ -110,8 +113,8 @@
     /** Sends a request whose caller waits for some milliseconds. */
     CompletableFuture<HttpResponse<String>> send(
             Member member, String method, String path, String key, String timeoutMs) {
-        HttpRequest.Builder request = HttpRequest.newBuilder(URI.create(
-                        "http://127.0.0.1:" + member.settings().entry().getPort() + path))
+        HttpRequest.Builder request = HttpRequest.newBuilder(
+                        URI.create("http://127.0.0.1:" + member.getEntryPort() + path))
                 .header(TestNames.NAMES.requestId(), "id-" + System.nanoTime())
                 .header(TestNames.NAMES.timeoutMs(), timeoutMs)
                 .method(method, HttpRequest.BodyPublishers.noBody());
@@ -158,12 +161,6 @@
         return new ServingRoute(name, "127.0.0.1", prefix, services, isIdempotent, isOpen, 4_000, 1_000, 0, 2);
     }
 
-    private static InetSocketAddress pickAddress() throws Exception {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return new InetSocketAddress("127.0.0.1", socket.getLocalPort());
-        }
-    }
-
     /** A node with what belongs to it. */
     record Member(
             MeshSettings settings,
@@ -180,16 +177,25 @@
             loop.execute(() -> node.getUpstream().onReport(report));
         }
 
+        int getEntryPort() {
+            try {
+                return node.getEntryAddress().getPort();
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        }
+
         /** Asks whether the node is ready. */
         int status() throws Exception {
-            URI ready = URI.create("http://127.0.0.1:" + settings.ready().getPort() + "/ready");
+            URI ready = URI.create("http://127.0.0.1:" + node.getReadyAddress().getPort() + "/ready");
             return HttpClient.newHttpClient()
                     .send(HttpRequest.newBuilder(ready).build(), HttpResponse.BodyHandlers.discarding())
                     .statusCode();
         }
 
         String metrics() throws Exception {
-            URI metrics = URI.create("http://127.0.0.1:" + settings.metrics().getPort() + "/metrics");
+            URI metrics =
+                    URI.create("http://127.0.0.1:" + node.getMetricsAddress().getPort() + "/metrics");
             return HttpClient.newHttpClient()
                     .send(HttpRequest.newBuilder(metrics).build(), HttpResponse.BodyHandlers.ofString())
                     .body();
--- a/mesh/src/test/java/io/cranberryarch/mesh/TestUpstream.java
+++ b/mesh/src/test/java/io/cranberryarch/mesh/TestUpstream.java
@@ -32,7 +32,7 @@
                 new InetSocketAddress("127.0.0.1", 0),
                 () -> HttpLimits.DEFAULT,
                 this::onRequest,
-                (status, cause) -> {});
+                (status, cause) -> HttpResponseMessage.ofEmpty(status));
         thread.start();
     }
 
--- a/net/src/main/java/io/cranberryarch/net/HttpServer.java
+++ b/net/src/main/java/io/cranberryarch/net/HttpServer.java
@@ -5,7 +5,6 @@
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.Set;
-import java.util.function.BiConsumer;
 import java.util.function.Supplier;
 import org.tinylog.Logger;
 
@@ -21,13 +20,13 @@
     private static final long IDLE_CHECK_INTERVAL_MS = 1_000;
 
     private final Handler handler;
-    private final BiConsumer<Integer, String> onMalformed;
+    private final MalformedHandler malformedHandler;
     private final Set<HttpServerConnection> connections = new LinkedHashSet<>();
     private TcpListener listener;
 
-    private HttpServer(Handler handler, BiConsumer<Integer, String> onMalformed) {
+    private HttpServer(Handler handler, MalformedHandler malformedHandler) {
         this.handler = handler;
-        this.onMalformed = onMalformed;
+        this.malformedHandler = malformedHandler;
     }
 
     /**
@@ -37,7 +36,7 @@
      * @param address the address; port 0 lets the system choose
      * @param limits the limits in force
      * @param handler handles requests
-     * @param onMalformed learns status and cause of each request that was refused because it could not be read
+     * @param malformedHandler answers requests that cannot be read
      * @return the server
      * @throws IOException if the address cannot be bound
      */
@@ -46,9 +45,9 @@
             InetSocketAddress address,
             Supplier<HttpLimits> limits,
             Handler handler,
-            BiConsumer<Integer, String> onMalformed)
+            MalformedHandler malformedHandler)
             throws IOException {
-        HttpServer server = new HttpServer(handler, onMalformed);
+        HttpServer server = new HttpServer(handler, malformedHandler);
         server.listener = TcpListener.bind(loop, address, connection -> {
             HttpServerConnection created = new HttpServerConnection(loop, connection, server, limits);
             server.connections.add(created);
@@ -104,8 +103,8 @@
         return handler;
     }
 
-    void onMalformed(int status, String cause) {
-        onMalformed.accept(status, cause);
+    HttpResponseMessage toMalformedResponse(int status, String cause) {
+        return malformedHandler.toResponse(status, cause);
     }
 
     void remove(HttpServerConnection connection) {
@@ -129,4 +128,18 @@
          */
         void onRequest(HttpExchange exchange);
     }
+
+    /** Answers requests that cannot be read. */
+    @FunctionalInterface
+    public interface MalformedHandler {
+
+        /**
+         * Makes the response.
+         *
+         * @param status the status
+         * @param cause what is wrong with the request
+         * @return the response, after which the connection is closed
+         */
+        HttpResponseMessage toResponse(int status, String cause);
+    }
 }
--- a/net/src/main/java/io/cranberryarch/net/HttpServerConnection.java
+++ b/net/src/main/java/io/cranberryarch/net/HttpServerConnection.java
@@ -154,8 +154,7 @@
         exchange.isLast = true;
         isLastTaken = true;
         exchanges.add(exchange);
-        server.onMalformed(status, cause);
-        exchange.respond(HttpResponseMessage.ofEmpty(status));
+        exchange.respond(server.toMalformedResponse(status, cause));
     }
 
     private void sendReady() {
--- a/net/src/test/java/io/cranberryarch/net/HttpServerTest.java
+++ b/net/src/test/java/io/cranberryarch/net/HttpServerTest.java
@@ -35,7 +35,10 @@
                 new InetSocketAddress("127.0.0.1", 0),
                 () -> limits,
                 arrived::add,
-                (status, cause) -> malformed.add(status)));
+                (status, cause) -> {
+                    malformed.add(status);
+                    return HttpResponseMessage.ofEmpty(status);
+                }));
         port = server.getAddress().getPort();
     }
 
--- a/settings/src/main/java/io/cranberryarch/settings/IniFile.java
+++ b/settings/src/main/java/io/cranberryarch/settings/IniFile.java
@@ -228,6 +228,16 @@
         return Optional.of(new InetSocketAddress(text.substring(0, colon), port));
     }
 
+    /**
+     * Writes an address, the counterpart of {@link #toAddress}.
+     *
+     * @param address the address, resolved
+     * @return {@code IP:PORT}
+     */
+    public static String toText(InetSocketAddress address) {
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
+
     /** Adds a fault for every key that was not taken. */
     public void rejectUnknown() {
         for (String section : ini.getSections()) {
