--- a/mesh/src/main/java/io/cranberryarch/mesh/EntryService.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/EntryService.java
@@ -167,6 +167,7 @@
             int rank = toRank(route.get());
             Optional<Long> overRateMs = account.flatMap(charged -> quotas.charge(charged, peers));
             if (overRateMs.isPresent()) {
+                details = quotas.describe(account.orElseThrow(), peers);
                 refuse(429, "over-rate", overRateMs.get());
                 return;
             }
@@ -345,7 +346,8 @@
                 log.state("event=request-ended request=" + requestId + " route=" + routeName + " service=" + service
                         + " account=" + account.map(AccountRule::name).orElse("-") + " nested=" + parent.isPresent()
                         + " status=" + status + " outcome=" + outcome + " took-ms=" + tookMs + " rules-version="
-                        + rules.getVersion() + details);
+                        + rules.getVersion() + " rules-age-ms=" + rules.getAgeMs()
+                        + attempts.map(Forwarder.Attempts::toText).orElse("") + details);
             }
         }
     }
--- a/mesh/src/main/java/io/cranberryarch/mesh/Forwarder.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/Forwarder.java
@@ -9,7 +9,7 @@
 import io.cranberryarch.net.EventLoop;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -88,7 +88,7 @@
         private final int attemptLimit;
         private final Consumer<ForwardedAnswer> callback;
         private final long deadlineMs;
-        private final Set<String> tried = new HashSet<>();
+        private final Set<String> tried = new LinkedHashSet<>();
         private final Map<Integer, Runnable> underWay = new HashMap<>();
         private final LatencyEstimate latency;
         private Optional<EventLoop.Timer> overdue = Optional.empty();
@@ -122,6 +122,11 @@
             return mayHaveRun || sent > 0;
         }
 
+        /** Writes where the request was sent, for the log. */
+        String toText() {
+            return " attempts=" + sent + " tried=" + (tried.isEmpty() ? "-" : String.join(",", tried));
+        }
+
         private void next() {
             Optional<Peer> place = choose();
             if (place.isEmpty()) {
--- a/mesh/src/main/java/io/cranberryarch/mesh/QuotaService.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/QuotaService.java
@@ -5,6 +5,7 @@
 import io.cranberryarch.settings.serving.AccountRule;
 import io.cranberryarch.settings.serving.ServingRules;
 import java.util.HashMap;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 
@@ -70,6 +71,24 @@
         return Optional.of(quota.toRetryAfterMs(limit, share, nowMs));
     }
 
+    /** Writes what decides about requests of an account, for the log. */
+    String describe(AccountRule account, PeerService peers) {
+        AccountQuota quota = quotas.get(account.name());
+        if (quota == null) {
+            return "";
+        }
+        return String.format(
+                Locale.ROOT,
+                " rate-per-s=%.1f burst=%.1f share=%.3f demand-per-s=%.1f held=%.2f nodes=%d connected=%d",
+                account.ratePerS(),
+                account.burst(),
+                toShare(account, quota, peers),
+                quota.getDemandPerS(loop.nowMs()),
+                quota.getHeld(),
+                peers.countNodes(),
+                peers.countConnected());
+    }
+
     /** Gives the token of a request back that did not run. */
     void giveBack(AccountRule account) {
         AccountQuota quota = quotas.get(account.name());
--- a/mesh/src/test/java/io/cranberryarch/mesh/MeshNodeTest.java
+++ b/mesh/src/test/java/io/cranberryarch/mesh/MeshNodeTest.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.regex.Pattern;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -338,12 +339,14 @@
         fleet.publish(3);
         TestFleet.await(() -> send("GET", "/read/7", KEY).statusCode() == 429);
         for (String reason : List.of(
-                "outcome=key-rejected",
-                "outcome=no-route",
-                "outcome=rejected-by-upstream",
-                "outcome=answer-without-id",
-                "outcome=over-rate")) {
-            TestFleet.await(() -> fleet.getLines().stream().anyMatch(line -> line.contains(reason)));
+                "outcome=key-rejected .* rules-version=1 rules-age-ms=\\d+",
+                "outcome=no-route .* rules-version=1 rules-age-ms=\\d+",
+                "outcome=rejected-by-upstream .* attempts=2 tried=node-[ab],node-[ab]",
+                "outcome=answer-without-id .* attempts=1 tried=node-[ab]",
+                "outcome=over-rate .* share=[0-9.]+ demand-per-s=[0-9.]+ held=[-0-9.]+ nodes=2 connected=1")) {
+            Pattern pattern = Pattern.compile(reason);
+            TestFleet.await(() -> fleet.getLines().stream()
+                    .anyMatch(line -> pattern.matcher(line).find()));
         }
         assertFalse(fleet.getLines().stream().anyMatch(line -> line.contains("key-of-")));
     }
--- a/operator/src/main/java/io/cranberryarch/operator/RequestTrace.java
+++ b/operator/src/main/java/io/cranberryarch/operator/RequestTrace.java
@@ -43,6 +43,11 @@
             Map.entry("upstream-unreachable", "the upstream took no connection; not run"),
             Map.entry("rejected-by-upstream", "the upstream rejected it; not run"),
             Map.entry("caller-left", "the caller closed its connection"),
+            Map.entry("leaving", "the instance was about to end; not run"),
+            Map.entry("no-upstream", "the node of the instance knew no upstream yet; not run"),
+            Map.entry("wrong-service", "the node runs another service by now; not run"),
+            Map.entry("upstream-replaced", "another instance answered at the upstream's address; not run"),
+            Map.entry("answer-without-id", "the upstream's answer belonged to no request"),
             Map.entry("answered", "the upstream answered with a failure"));
 
     private final String requestId;
@@ -59,18 +64,23 @@
     }
 
     /**
-     * Adds a line of a log, in the order of the log.
+     * Adds a line of a log, in the order of the log. A word before the time, as collectors of logs add it, names the
+     * process that wrote the line.
      *
-     * @param source where the line comes from, e.g. the name of a file
+     * @param file the file with the line, which names the process if the line does not
      * @param text the line
      */
-    public void add(String source, String text) {
+    public void add(String file, String text) {
         Map<String, String> fields = toFields(text);
         String event = fields.get("event");
         if (event == null) {
             return;
         }
-        Line line = new Line(source, toTime(text), event, fields);
+        Matcher time = TIME.matcher(text);
+        boolean isTimed = time.find();
+        String prefix = isTimed ? text.substring(0, time.start()).strip() : "";
+        String source = prefix.isEmpty() ? file : prefix.substring(prefix.lastIndexOf(' ') + 1);
+        Line line = new Line(source, isTimed ? time.group() : "", event, fields);
         if (BELIEFS.contains(event)) {
             beliefs.computeIfAbsent(source, unused -> new LinkedHashMap<>()).put(event, line);
         }
@@ -135,11 +145,6 @@
         return fields;
     }
 
-    private static String toTime(String text) {
-        Matcher match = TIME.matcher(text);
-        return match.find() ? match.group() : "";
-    }
-
     /** A line of a log. */
     private record Line(String source, String time, String event, Map<String, String> fields) {}
 }
--- a/operator/src/test/java/io/cranberryarch/operator/RequestTraceTest.java
+++ b/operator/src/test/java/io/cranberryarch/operator/RequestTraceTest.java
@@ -38,4 +38,18 @@
         trace.add("a", RULES);
         assertTrue(trace.isEmpty());
     }
+
+    @Test
+    void logOfSeveralProcessesIsToldApartByTheWordBeforeTheTime() {
+        RequestTrace trace = new RequestTrace("42");
+        trace.add("all.log", "1.2 node-a 2026-04-14T22:19:46.912Z INFO event=rules-changed from=1 to=2");
+        trace.add("all.log", "1.2 node-b 2026-04-14T22:19:46.913Z INFO event=rules-changed from=1 to=3");
+        trace.add(
+                "all.log", "1.3 node-a 2026-04-14T22:19:46.950Z INFO event=request-ended request=42 outcome=over-rate");
+        assertEquals("""
+                2026-04-14T22:19:46.912Z node-a rules-changed from=1 to=2
+                2026-04-14T22:19:46.950Z node-a request-ended outcome=over-rate
+                    the client account was over its rate; not run
+                """, trace.toText());
+    }
 }
