--- a/node/src/main/java/io/cranberryarch/node/http/EntryHandler.java
+++ b/node/src/main/java/io/cranberryarch/node/http/EntryHandler.java
@@ -1,5 +1,6 @@
 package io.cranberryarch.node.http;
 
+import io.cranberryarch.base.Clock;
 import io.cranberryarch.base.Digests;
 import io.cranberryarch.context.CallRequest;
 import io.cranberryarch.context.CallResult;
@@ -40,6 +41,7 @@
     private final NodeMetrics metrics;
     private final CountsReporter counts;
     private final int maxBodyBytes;
+    private final FailureLog failures = new FailureLog(Clock.system(), Logger::info);
 
     /**
      * Creates a handler.
@@ -193,7 +195,13 @@
             long micros = TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - startNanos);
             metrics.record(account, kind, outcome, micros);
             counts.record(account, kind, Outcomes.of(result));
-            Logger.debug("request request={} account={} class={} outcome={}", requestId, account, kind, outcome);
+            failures.onEnd(
+                    requestId,
+                    account,
+                    route.map(Route::name).orElse(""),
+                    result,
+                    TimeUnit.MICROSECONDS.toMillis(micros),
+                    settings.getVersion());
             HttpAnswers.write(response, callback, result, requestId);
         }
 
--- a/operator/src/main/java/io/cranberryarch/operator/RequestTrace.java
+++ b/operator/src/main/java/io/cranberryarch/operator/RequestTrace.java
@@ -48,6 +48,13 @@
             Map.entry("wrong-service", "the node runs another service by now; not run"),
             Map.entry("upstream-replaced", "another instance answered at the upstream's address; not run"),
             Map.entry("answer-without-id", "the upstream's answer belonged to no request"),
+            Map.entry("rate-exceeded", "the client account was over its rate; not run"),
+            Map.entry("rate-unavailable", "the node got no tokens of the account's rate in time; not run"),
+            Map.entry("deadline-exceeded", "no answer before the deadline"),
+            Map.entry("draining", "the instance was about to end; not run"),
+            Map.entry("settings-unavailable", "the node had no settings yet; not run"),
+            Map.entry("upstream-failed", "the upstream closed its connection without a whole answer"),
+            Map.entry("idempotency-unknown", "an earlier attempt under the same idempotency key may have run"),
             Map.entry("answered", "the upstream answered with a failure"));
 
     private final String requestId;
