--- a/mesh/src/main/java/io/cranberryarch/mesh/EntryService.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/EntryService.java
@@ -4,7 +4,6 @@
 import io.cranberryarch.context.ForwardedAnswer;
 import io.cranberryarch.context.ForwardedRequest;
 import io.cranberryarch.context.HeaderField;
-import io.cranberryarch.decision.serving.ReturningCallers;
 import io.cranberryarch.decision.serving.RouteCosts;
 import io.cranberryarch.net.EventLoop;
 import io.cranberryarch.net.HttpExchange;
@@ -16,15 +15,11 @@
 import io.cranberryarch.settings.serving.ServingRules;
 import java.net.InetAddress;
 import java.util.ArrayList;
-import java.util.Arrays;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.ThreadLocalRandom;
 
 /**
  * Receives requests of callers, and the calls that the upstream makes while it runs other requests: finds the route,
@@ -41,29 +36,19 @@
     /** How soon a caller may come back when the node knows no rules yet or no instance can be reached. */
     private static final long UNAVAILABLE_RETRY_AFTER_MS = 500;
 
-    /** The shortest and the longest time after which a request that was refused for overload comes back. */
-    private static final long MIN_OVERLOAD_RETRY_AFTER_MS = 300;
-
-    private static final long MAX_OVERLOAD_RETRY_AFTER_MS = 1_500;
-
-    /** The golden ratio: multiples of it, modulo one, are spread evenly whatever their number. */
-    private static final double GOLDEN_RATIO = 0.618_033_988_749_895;
-
     private final EventLoop loop;
     private final MeshSettings settings;
     private final HeaderNames names;
     private final RulesService rules;
-    private final PeerService peers;
     private final Gate gate;
     private final Forwarder forwarder;
     private final QuotaService quotas;
-    private final ServiceLoads loads;
+    private final EntryAdmission admission;
     private final RouteCosts costs;
     private final MeshMetrics metrics;
     private final EventLog log;
     private final Set<String> droppedHeaders;
-    private final ReturningCallers returns = new ReturningCallers();
-    private final Map<String, Long> splitCounters = new HashMap<>();
+    private final ServiceSplit split = new ServiceSplit();
     private int inProgress;
 
     EntryService(
@@ -71,11 +56,10 @@
             MeshSettings settings,
             HeaderNames names,
             RulesService rules,
-            PeerService peers,
             Gate gate,
             Forwarder forwarder,
             QuotaService quotas,
-            ServiceLoads loads,
+            EntryAdmission admission,
             RouteCosts costs,
             MeshMetrics metrics,
             EventLog log) {
@@ -83,11 +67,10 @@
         this.settings = settings;
         this.names = names;
         this.rules = rules;
-        this.peers = peers;
         this.gate = gate;
         this.forwarder = forwarder;
         this.quotas = quotas;
-        this.loads = loads;
+        this.admission = admission;
         this.costs = costs;
         this.metrics = metrics;
         this.log = log;
@@ -163,11 +146,11 @@
                 }
                 return;
             }
-            service = pickService(route.get());
+            service = split.pick(route.get());
             int rank = toRank(route.get());
-            Optional<Long> overRateMs = account.flatMap(charged -> quotas.charge(charged, peers));
+            Optional<Long> overRateMs = account.flatMap(quotas::charge);
             if (overRateMs.isPresent()) {
-                details = quotas.describe(account.orElseThrow(), peers);
+                details = quotas.describe(account.orElseThrow());
                 refuse(429, "over-rate", overRateMs.get());
                 return;
             }
@@ -207,14 +190,6 @@
             return request.findHeader("Authorization").isEmpty();
         }
 
-        private String pickService(ServingRoute target) {
-            if (target.services().size() == 1) {
-                return target.services().get(0).service();
-            }
-            long count = splitCounters.merge(target.name(), 1L, Long::sum);
-            return target.pickService((count * GOLDEN_RATIO) % 1.0);
-        }
-
         private int toRank(ServingRoute target) {
             if (parent.isPresent()) {
                 return parent.get().getRequest().rank();
@@ -223,38 +198,17 @@
         }
 
         private boolean shed(ServingRules known, ServingRoute target, int rank) {
-            long caller = toCallerMark();
-            boolean isReturning = returns.isReturning(caller, startMs);
-            Optional<ServiceLoads.Overload> overload =
-                    loads.findOverload(target.name(), service, rank, isReturning, known);
-            if (overload.isEmpty()) {
+            Optional<EntryAdmission.Rejection> rejection =
+                    admission.check(known, target, service, rank, account, request, startMs);
+            if (rejection.isEmpty()) {
                 return false;
             }
             account.ifPresent(quotas::giveBack);
-            long retryAfterMs = toOverloadRetryAfterMs();
-            returns.onRefused(caller, startMs, startMs + retryAfterMs);
-            details = String.format(
-                    Locale.ROOT,
-                    " rank=%d returning=%b load=%.2f served-share=%.2f retry-after-ms=%d",
-                    rank,
-                    isReturning,
-                    overload.get().load(),
-                    overload.get().served(),
-                    retryAfterMs);
-            refuse(503, "overload-of-" + overload.get().service(), retryAfterMs);
+            details = rejection.get().details();
+            refuse(503, rejection.get().reason(), rejection.get().retryAfterMs());
             return true;
         }
 
-        /** A mark by which a refused request is known when its caller sends it again under another identifier. */
-        private long toCallerMark() {
-            String key = account.map(AccountRule::name).orElse("");
-            return key.hashCode() * 31L + request.target().hashCode() + ((long) Arrays.hashCode(request.body()) << 32);
-        }
-
-        private long toOverloadRetryAfterMs() {
-            return ThreadLocalRandom.current().nextLong(MIN_OVERLOAD_RETRY_AFTER_MS, MAX_OVERLOAD_RETRY_AFTER_MS);
-        }
-
         private void forward(ServingRoute target, int rank, long leftMs) {
             List<HeaderField> headers = HttpHeaders.toEndToEnd(request.headers(), droppedHeaders);
             headers.add(new HeaderField(names.callerService(), settings.service()));
@@ -295,8 +249,9 @@
                 respond(new HttpResponseMessage(answer.status(), headers, answer.body()), "answered");
             } else if (answer.execution() == Execution.NOT_RUN) {
                 account.ifPresent(quotas::giveBack);
-                long retryAfterMs =
-                        answer.reason().equals("overloaded") ? toOverloadRetryAfterMs() : UNAVAILABLE_RETRY_AFTER_MS;
+                long retryAfterMs = answer.reason().equals("overloaded")
+                        ? EntryAdmission.toRetryAfterMs()
+                        : UNAVAILABLE_RETRY_AFTER_MS;
                 refuse(503, answer.reason(), retryAfterMs);
             } else {
                 refuse(answer.reason().equals("timeout") ? 504 : 502, answer.reason(), 0);
--- a/mesh/src/main/java/io/cranberryarch/mesh/Forwarder.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/Forwarder.java
@@ -26,7 +26,7 @@
     private static final int MAX_REDIRECTS = 3;
 
     private final EventLoop loop;
-    private final PeerService peers;
+    private final PeerDirectory peers;
     private final Gate gate;
     private final MeshMetrics metrics;
     private final EventLog log;
@@ -35,7 +35,8 @@
 
     private MeshSettings settings;
 
-    Forwarder(EventLoop loop, MeshSettings settings, PeerService peers, Gate gate, MeshMetrics metrics, EventLog log) {
+    Forwarder(
+            EventLoop loop, MeshSettings settings, PeerDirectory peers, Gate gate, MeshMetrics metrics, EventLog log) {
         this.loop = loop;
         this.settings = settings;
         this.peers = peers;
@@ -180,7 +181,7 @@
         }
 
         private Optional<Peer> choose() {
-            PeerService.Places places = peers.getPlaces(request.service());
+            PeerDirectory.Places places = peers.getPlaces(request.service());
             peers.refreshOwnLoad();
             return InstanceChoice.choose(
                     untried(places.near()),
@@ -270,7 +271,7 @@
         }
 
         private boolean hasOther() {
-            PeerService.Places places = peers.getPlaces(request.service());
+            PeerDirectory.Places places = peers.getPlaces(request.service());
             return !untried(places.near()).isEmpty() || !untried(places.far()).isEmpty();
         }
 
--- a/mesh/src/main/java/io/cranberryarch/mesh/MeshNode.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/MeshNode.java
@@ -49,7 +49,8 @@
     private final UpstreamState upstream;
     private final RulesService rules;
     private final Gate gate;
-    private final PeerService peers;
+    private final PeerDirectory peers;
+    private final PeerService peerService;
     private final EntryService entry;
     private final MeshMetrics metrics = new MeshMetrics();
     private final QuotaService quotas;
@@ -87,18 +88,29 @@
         upstream = new UpstreamState(loop, log);
         rules = new RulesService(loop, store, reader, log);
         gate = new Gate(loop, settings, names, upstream, log);
-        quotas = new QuotaService(loop, settings);
+        peers = new PeerDirectory(loop, self, gate, upstream);
+        quotas = new QuotaService(loop, peers, settings);
         WorkDemand workDemand = new WorkDemand();
         long incarnation = System.currentTimeMillis();
-        peers = new PeerService(
-                loop, self, incarnation, gate, new CompactHeaders(names), upstream, rules, log, quotas, workDemand);
+        peerService = new PeerService(
+                loop,
+                self,
+                incarnation,
+                peers,
+                gate,
+                new CompactHeaders(names),
+                upstream,
+                rules,
+                log,
+                quotas,
+                workDemand);
         forwarder = new Forwarder(loop, settings, peers, gate, metrics, log);
         RouteCosts costs = new RouteCosts();
         ServiceLoads loads = new ServiceLoads(loop, peers, costs, workDemand);
         entry = new EntryService(
-                loop, settings, names, rules, peers, gate, forwarder, quotas, loads, costs, metrics, log);
+                loop, settings, names, rules, gate, forwarder, quotas, new EntryAdmission(loads), costs, metrics, log);
         rules.addListener(() -> rules.getRules().ifPresent(quotas::onRules));
-        rules.addListener(peers::broadcastStatus);
+        rules.addListener(peerService::broadcastStatus);
         rules.addListener(this::probeUpstream);
         loop.repeat(REPORT_CHECK_INTERVAL_MS, () -> upstream.checkReports(this.settings.reportIntervalMs()));
         addGauges();
@@ -133,8 +145,8 @@
      * @throws IOException if a port cannot be bound
      */
     public void start() throws IOException {
-        self = peers.start(settings.peers());
-        closer.add(peers);
+        self = peerService.start(settings.peers());
+        closer.add(peerService);
         entryServer = bind(settings.entry(), entry::onRequest);
         readyServer = bind(settings.ready(), this::onReadyQuestion);
         metricsServer = bind(settings.metrics(), this::onMetrics);
@@ -276,8 +288,8 @@
         store.readPeers(SharedStore.Callback.of(
                 found -> {
                     storeRetryMs = 0;
-                    peers.learn(found);
-                    peers.onFleetRead();
+                    peerService.learn(found);
+                    peers.onFleetKnown();
                 },
                 failure -> retryStore(this::readPeers)));
     }
--- a/mesh/src/main/java/io/cranberryarch/mesh/PeerService.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/PeerService.java
@@ -13,16 +13,13 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.tinylog.Logger;
 
-/** The other nodes: how they are found, the connections to them, and what each says of itself. */
+/** The connections to the other nodes, and what the nodes say to each other of themselves. */
 final class PeerService implements AutoCloseable {
 
     private static final long STATUS_INTERVAL_MS = 500;
@@ -47,6 +44,7 @@
 
     private final EventLoop loop;
     private final long incarnation;
+    private final PeerDirectory peers;
     private final Gate gate;
     private final CompactHeaders compact;
     private final UpstreamState upstream;
@@ -54,19 +52,16 @@
     private final EventLog log;
     private final QuotaService quotas;
     private final WorkDemand workDemand;
-    private final Map<String, Peer> peers = new LinkedHashMap<>();
     private final Set<PeerLink> links = new LinkedHashSet<>();
-    private final Peer own;
-    private Map<String, Places> placesByService = new HashMap<>();
     private TcpListener listener;
     private PeerInfo self;
-    private boolean isFleetKnown;
     private long statusAtMs;
 
     PeerService(
             EventLoop loop,
             PeerInfo self,
             long incarnation,
+            PeerDirectory peers,
             Gate gate,
             CompactHeaders compact,
             UpstreamState upstream,
@@ -77,6 +72,7 @@
         this.loop = loop;
         this.self = self;
         this.incarnation = incarnation;
+        this.peers = peers;
         this.gate = gate;
         this.compact = compact;
         this.upstream = upstream;
@@ -84,7 +80,6 @@
         this.log = log;
         this.quotas = quotas;
         this.workDemand = workDemand;
-        this.own = new Peer(self);
     }
 
     /**
@@ -100,7 +95,7 @@
         });
         self = new PeerInfo(self.node(), self.zone(), IniFile.toText(listener.getAddress()));
         upstream.addListener(() -> {
-            placesByService = new HashMap<>();
+            peers.onPlacesChanged();
             broadcastStatus();
         });
         loop.repeat(CHECK_INTERVAL_MS, this::check);
@@ -115,82 +110,23 @@
         return gate;
     }
 
-    boolean isSelf(Peer peer) {
-        return peer == own;
-    }
-
     /** Adds nodes that were read from the store or heard of from others. */
     void learn(Collection<PeerInfo> infos) {
         for (PeerInfo info : infos) {
             if (info.node().equals(self.node())) {
                 continue;
             }
-            Peer known = peers.get(info.node());
-            if (known == null) {
-                known = new Peer(info);
-                peers.put(info.node(), known);
-                dial(known);
-            }
-        }
-    }
-
-    /** Gets the places that may run requests of a service now. */
-    Places getPlaces(String service) {
-        Places places = placesByService.get(service);
-        if (places == null) {
-            places = new Places(new ArrayList<>(), new ArrayList<>());
-            if (upstream.isAccepting() && upstream.getService().equals(service)) {
-                places.near().add(own);
-            }
-            for (Peer peer : peers.values()) {
-                if (peer.isUsable() && peer.getService().equals(service)) {
-                    (peer.getInfo().zone().equals(self.zone()) ? places.near() : places.far()).add(peer);
-                }
+            if (peers.find(info.node()).isEmpty()) {
+                dial(peers.getOrAdd(info));
             }
-            placesByService.put(service, places);
         }
-        return places;
-    }
-
-    Collection<Peer> getPeers() {
-        return peers.values();
-    }
-
-    int countNodes() {
-        return peers.size() + 1;
-    }
-
-    /** Tells whether the node has learned from the store or from a peer which other nodes there are. */
-    boolean isFleetKnown() {
-        return isFleetKnown;
-    }
-
-    /** Notes that the entries of all nodes were read from the store. */
-    void onFleetRead() {
-        isFleetKnown = true;
-    }
-
-    int countConnected() {
-        int count = 0;
-        for (Peer peer : peers.values()) {
-            if (peer.getLink().map(PeerLink::isUsable).orElse(false)) {
-                count++;
-            }
-        }
-        return count;
-    }
-
-    /** Updates what is known of the own upstream's load, which changes with each request. */
-    void refreshOwnLoad() {
-        own.getLoad().onReport(gate.getLimit(), gate.getBusy(), gate.getFailing());
-        own.getLoad().setColdUntilMs(loop.nowMs() + upstream.getColdLeftMs());
     }
 
     void broadcastStatus() {
         statusAtMs = loop.nowMs();
-        quotas.onReported(rules.getRules(), this);
+        quotas.onReported(rules.getRules());
         PeerStatusMessage status = toStatus();
-        for (Peer peer : peers.values()) {
+        for (Peer peer : peers.getPeers()) {
             peer.getLink().filter(PeerLink::isConnected).ifPresent(link -> link.send(status));
         }
     }
@@ -210,7 +146,7 @@
     }
 
     void onHeardAgain(PeerLink link) {
-        placesByService = new HashMap<>();
+        peers.onPlacesChanged();
         link.getPeer()
                 .ifPresent(peer -> log.state("event=peer-regained peer="
                         + peer.getInfo().node() + " zone=" + peer.getInfo().zone()));
@@ -226,7 +162,7 @@
         if (peer.getLink().filter(current -> current == link).isPresent()) {
             peer.setLink(Optional.empty());
             peer.setLostAtMs(loop.nowMs());
-            placesByService = new HashMap<>();
+            peers.onPlacesChanged();
             log.state("event=peer-lost peer=" + peer.getInfo().node() + " zone="
                     + peer.getInfo().zone() + " cause=\"" + cause + "\"");
         }
@@ -258,7 +194,7 @@
             link.close();
             return;
         }
-        Peer peer = peers.computeIfAbsent(hello.self().node(), unused -> new Peer(hello.self()));
+        Peer peer = peers.getOrAdd(hello.self());
         peer.setInfo(hello.self());
         // Another node has the address now that was dialed.
         link.getPeer().filter(dialed -> dialed != peer).ifPresent(this::forget);
@@ -273,13 +209,13 @@
         Optional<PeerLink> before = peer.getLink().filter(current -> current != link);
         if (before.isEmpty() || isPreferred(link, before.get(), peer)) {
             peer.setLink(Optional.of(link));
-            placesByService = new HashMap<>();
+            peers.onPlacesChanged();
             log.state("event=peer-connected peer=" + peer.getInfo().node() + " zone="
                     + peer.getInfo().zone() + " address=" + peer.getInfo().address() + " incarnation="
                     + hello.incarnation());
         }
         learn(hello.known());
-        isFleetKnown = true;
+        peers.onFleetKnown();
     }
 
     /** Of two connections that both nodes opened at once, both keep the one of the node with the smaller name. */
@@ -296,12 +232,12 @@
             peer.setEnding();
         }
         if (peer.onStatus(status, loop.nowMs())) {
-            placesByService = new HashMap<>();
+            peers.onPlacesChanged();
             log.state("event=instance-changed peer=" + peer.getInfo().node() + " instance=" + status.instance()
                     + " service=" + status.service() + " accepting=" + status.isAccepting() + " limit="
                     + status.limit());
         }
-        quotas.onPeerStatus(peer, rules.getRules(), this);
+        quotas.onPeerStatus(peer, rules.getRules());
         rules.onPeerVersion(peer, status.rulesVersion());
     }
 
@@ -324,7 +260,7 @@
 
     private void sendHello(PeerLink link) {
         List<PeerInfo> known = new ArrayList<>();
-        for (Peer peer : peers.values()) {
+        for (Peer peer : peers.getPeers()) {
             if (peer.getLink().isPresent()) {
                 known.add(peer.getInfo());
             }
@@ -349,7 +285,7 @@
     private void redialLater(Peer peer) {
         peer.setBackoffMs(Math.min(MAX_BACKOFF_MS, Math.max(FIRST_BACKOFF_MS, peer.getBackoffMs() * 2)));
         loop.schedule(peer.getBackoffMs(), () -> {
-            if (peers.get(peer.getInfo().node()) == peer) {
+            if (peers.find(peer.getInfo().node()).filter(known -> known == peer).isPresent()) {
                 dial(peer);
             }
         });
@@ -384,7 +320,7 @@
         Peer peer = link.getPeer().orElseThrow();
         log.state("event=peer-silent peer=" + peer.getInfo().node() + " zone="
                 + peer.getInfo().zone() + " silent-ms=" + link.getSilentMs());
-        placesByService = new HashMap<>();
+        peers.onPlacesChanged();
         link.onSilent();
         // The connection may have gone silent for good while new ones work.
         peer.setLink(Optional.empty());
@@ -393,28 +329,19 @@
     }
 
     private void forget(Peer peer) {
-        peers.remove(peer.getInfo().node());
+        peers.remove(peer);
         quotas.forget(peer);
-        placesByService = new HashMap<>();
         log.state("event=peer-forgotten peer=" + peer.getInfo().node() + " zone="
                 + peer.getInfo().zone() + " ending=" + peer.isEnding());
     }
 
     private void forgetLost() {
         long nowMs = loop.nowMs();
-        for (Peer peer : new ArrayList<>(peers.values())) {
+        for (Peer peer : new ArrayList<>(peers.getPeers())) {
             boolean isLost = peer.getLink().isEmpty() && peer.getLostAtMs() > 0;
             if (isLost && nowMs - peer.getLostAtMs() > FORGET_AFTER_MS) {
                 forget(peer);
             }
         }
     }
-
-    /**
-     * Places that may run requests of a service.
-     *
-     * @param near places in the own availability zone
-     * @param far places in other zones
-     */
-    record Places(List<Peer> near, List<Peer> far) {}
 }
--- a/mesh/src/main/java/io/cranberryarch/mesh/QuotaService.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/QuotaService.java
@@ -27,14 +27,16 @@
     private static final int MS_PER_S = 1_000;
 
     private final EventLoop loop;
+    private final PeerDirectory peers;
     private final Map<String, AccountQuota> quotas = new HashMap<>();
     private final Map<String, Map<String, Long>> admittedByPeer = new HashMap<>();
 
     private final long startedAtMs;
     private MeshSettings settings;
 
-    QuotaService(EventLoop loop, MeshSettings settings) {
+    QuotaService(EventLoop loop, PeerDirectory peers, MeshSettings settings) {
         this.loop = loop;
+        this.peers = peers;
         this.settings = settings;
         this.startedAtMs = loop.nowMs();
     }
@@ -57,14 +59,14 @@
      *
      * @return when to come back in milliseconds, or empty if the request is within the rate
      */
-    Optional<Long> charge(AccountRule account, PeerService peers) {
+    Optional<Long> charge(AccountRule account) {
         if (!account.isLimited()) {
             return Optional.empty();
         }
         AccountQuota quota = quotas.computeIfAbsent(account.name(), unused -> new AccountQuota(startedAtMs));
         long nowMs = loop.nowMs();
         AccountQuota.Limit limit = toLimit(account);
-        double share = toShare(account, quota, peers);
+        double share = toShare(account, quota);
         if (quota.tryTake(limit, share, nowMs)) {
             return Optional.empty();
         }
@@ -72,7 +74,7 @@
     }
 
     /** Writes what decides about requests of an account, for the log. */
-    String describe(AccountRule account, PeerService peers) {
+    String describe(AccountRule account) {
         AccountQuota quota = quotas.get(account.name());
         if (quota == null) {
             return "";
@@ -82,7 +84,7 @@
                 " rate-per-s=%.1f burst=%.1f share=%.3f demand-per-s=%.1f held=%.2f nodes=%d connected=%d",
                 account.ratePerS(),
                 account.burst(),
-                toShare(account, quota, peers),
+                toShare(account, quota),
                 quota.getDemandPerS(loop.nowMs()),
                 quota.getHeld(),
                 peers.countNodes(),
@@ -98,7 +100,7 @@
     }
 
     /** Notes what another node admitted since its last status. */
-    void onPeerStatus(Peer peer, Optional<ServingRules> rules, PeerService peers) {
+    void onPeerStatus(Peer peer, Optional<ServingRules> rules) {
         Map<String, Long> known = admittedByPeer.put(peer.getInfo().node(), peer.getAdmitted());
         if (known == null || rules.isEmpty()) {
             return;
@@ -113,13 +115,13 @@
             // Tokens that were given back may lower the count by a few; a much lower one is that of a new incarnation.
             long news = count >= before - MOST_GIVEN_BACK ? count - before : count;
             double held = peer.getHeldTokens().getOrDefault(account.name(), 0.0);
-            double share = toShare(account, quota, peers);
+            double share = toShare(account, quota);
             quota.onOtherReported(toLimit(account), share, peer.getInfo().node(), news, held, loop.nowMs());
         }
     }
 
     /** Notes that the node tells all others what it admitted. */
-    void onReported(Optional<ServingRules> rules, PeerService peers) {
+    void onReported(Optional<ServingRules> rules) {
         if (rules.isEmpty()) {
             return;
         }
@@ -127,7 +129,7 @@
         for (AccountRule account : rules.get().getAccounts()) {
             AccountQuota quota = quotas.get(account.name());
             if (quota != null && account.isLimited()) {
-                double share = toShare(account, quota, peers);
+                double share = toShare(account, quota);
                 quota.onReported(toLimit(account), share, peers.countNodes(), isComplete, loop.nowMs());
             }
         }
@@ -143,7 +145,7 @@
         return false;
     }
 
-    private double toShare(AccountRule account, AccountQuota quota, PeerService peers) {
+    private double toShare(AccountRule account, AccountQuota quota) {
         double own = quota.getReportedPerS();
         double total = own;
         for (Peer peer : peers.getPeers()) {
--- a/mesh/src/main/java/io/cranberryarch/mesh/ServiceLoads.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/ServiceLoads.java
@@ -21,12 +21,12 @@
     private static final double FILLED_PART = 0.95;
 
     private final EventLoop loop;
-    private final PeerService peers;
+    private final PeerDirectory peers;
     private final RouteCosts costs;
     private final WorkDemand demand;
     private final Map<String, Average> averages = new HashMap<>();
 
-    ServiceLoads(EventLoop loop, PeerService peers, RouteCosts costs, WorkDemand demand) {
+    ServiceLoads(EventLoop loop, PeerDirectory peers, RouteCosts costs, WorkDemand demand) {
         this.loop = loop;
         this.peers = peers;
         this.costs = costs;
@@ -69,7 +69,7 @@
             }
         }
         double capacity = 0;
-        PeerService.Places places = peers.getPlaces(service);
+        PeerDirectory.Places places = peers.getPlaces(service);
         for (List<Peer> part : List.of(places.near(), places.far())) {
             for (Peer place : part) {
                 capacity += place.getLoad().toCapacity(nowMs);
@@ -87,7 +87,7 @@
             return average.load;
         }
         peers.refreshOwnLoad();
-        PeerService.Places places = peers.getPlaces(service);
+        PeerDirectory.Places places = peers.getPlaces(service);
         double busy = 0;
         double limit = 0;
         for (List<Peer> part : List.of(places.near(), places.far())) {
