--- a/mesh/src/main/java/io/cranberryarch/mesh/Gate.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/Gate.java
@@ -39,8 +39,6 @@
     private static final double FAILURE_HALF_LIFE_MS = 3_000;
 
     private static final int SERVER_ERROR = 500;
-    private static final int MAX_BODY_BYTES = 16 * 1024 * 1024;
-    private static final long MAX_IDLE_CONNECTION_MS = 8_000;
 
     /** The weight of the newest run in the average duration of a run. */
     private static final double DURATION_WEIGHT = 0.02;
@@ -64,12 +62,12 @@
     private double durationMs = FIRST_DURATION_MS;
     private long lastRunAtMs;
 
-    Gate(EventLoop loop, MeshSettings settings, HeaderNames names, UpstreamState upstream, EventLog log) {
+    Gate(EventLoop loop, HttpClientPool connections, HeaderNames names, UpstreamState upstream, EventLog log) {
         this.loop = loop;
         this.names = names;
         this.upstream = upstream;
         this.log = log;
-        this.connections = new HttpClientPool(loop, settings.upstream(), MAX_BODY_BYTES, MAX_IDLE_CONNECTION_MS);
+        this.connections = connections;
         this.echoedHeaders = Set.of(names.requestId().toLowerCase(Locale.ROOT));
         this.lastRunAtMs = loop.nowMs();
         loop.repeat(EXPIRY_CHECK_INTERVAL_MS, this::refuseExpired);
@@ -130,35 +128,6 @@
         return waiting.getSize();
     }
 
-    /**
-     * Asks an upstream that has not reported yet who it is, so that a restarted node need not wait for its next report.
-     *
-     * @param healthPath the path of its health check
-     * @param service its service
-     */
-    void probe(String healthPath, String service) {
-        HttpRequestMessage question = new HttpRequestMessage(
-                "GET", healthPath, List.of(new HeaderField("Host", service)), new byte[0], false);
-        connections.send(question, response -> true, new HttpClientConnection.Callback() {
-            @Override
-            public void onResponse(HttpResponseMessage response) {
-                response.findHeader(names.instance())
-                        .filter(instance -> response.status() == 200)
-                        .ifPresent(instance -> upstream.onProbed(instance, service));
-            }
-
-            @Override
-            public void onFailure(HttpFailure failure, String cause) {
-                log.state("event=probe-failed cause=\"" + cause + "\"");
-            }
-        });
-    }
-
-    /** Closes idle connections to an upstream that has ended. */
-    void closeConnections() {
-        connections.closeIdle();
-    }
-
     private Optional<String> findRefusal(Run run) {
         if (!upstream.isKnown()) {
             return Optional.of("no-upstream");
--- a/mesh/src/main/java/io/cranberryarch/mesh/MeshNode.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/MeshNode.java
@@ -6,6 +6,7 @@
 import io.cranberryarch.decision.serving.RouteCosts;
 import io.cranberryarch.decision.serving.WorkDemand;
 import io.cranberryarch.net.EventLoop;
+import io.cranberryarch.net.HttpClientPool;
 import io.cranberryarch.net.HttpExchange;
 import io.cranberryarch.net.HttpLimits;
 import io.cranberryarch.net.HttpResponseMessage;
@@ -39,6 +40,13 @@
 
     private static final long STOP_CHECK_INTERVAL_MS = 50;
     private static final long REPORT_CHECK_INTERVAL_MS = 250;
+
+    /** The largest body of an upstream's response. */
+    private static final int MAX_BODY_BYTES = 16 * 1024 * 1024;
+
+    /** How long a connection to the upstream is kept idle, below the timeouts that servers commonly have. */
+    private static final long MAX_IDLE_CONNECTION_MS = 8_000;
+
     private static final long FIRST_STORE_RETRY_MS = 200;
     private static final long MAX_STORE_RETRY_MS = 2_000;
 
@@ -49,6 +57,7 @@
     private final UpstreamState upstream;
     private final RulesService rules;
     private final Gate gate;
+    private final UpstreamProbe probe;
     private final PeerDirectory peers;
     private final PeerService peerService;
     private final EntryService entry;
@@ -87,7 +96,10 @@
         this.self = new PeerInfo(settings.node(), settings.zone(), IniFile.toText(settings.peers()));
         upstream = new UpstreamState(loop, log);
         rules = new RulesService(loop, store, reader, log);
-        gate = new Gate(loop, settings, names, upstream, log);
+        HttpClientPool connections =
+                new HttpClientPool(loop, settings.upstream(), MAX_BODY_BYTES, MAX_IDLE_CONNECTION_MS);
+        gate = new Gate(loop, connections, names, upstream, log);
+        probe = new UpstreamProbe(connections, names, upstream, log);
         peers = new PeerDirectory(loop, self, gate, upstream);
         quotas = new QuotaService(loop, peers, settings);
         WorkDemand workDemand = new WorkDemand();
@@ -258,13 +270,8 @@
                 limits.idleTimeoutMs());
     }
 
-    /** A restarted node does not wait for the next report of an upstream that has been running all the while. */
     private void probeUpstream() {
-        if (!upstream.isKnown()) {
-            rules.getRules()
-                    .flatMap(known -> known.findService(settings.service()))
-                    .ifPresent(service -> gate.probe(service.healthPath(), service.name()));
-        }
+        rules.getRules().flatMap(known -> known.findService(settings.service())).ifPresent(probe::send);
     }
 
     private void checkStopped(long startMs) {
