Mutation testing of the serving decisions, and tests of what survived it

Survivors in the terms of promises: giving a token back, when a refused account comes back, demand that fades, reports at once after borrowing, tokens held elsewhere, shares that add up, free and earned repeats, capacity of failing and cold instances, zones without instances, the tolerance of nested calls.

--- a/decision/src/test/java/io/cranberryarch/decision/serving/AccountQuotaTest.java
+++ b/decision/src/test/java/io/cranberryarch/decision/serving/AccountQuotaTest.java
@@ -1,5 +1,7 @@
 package io.cranberryarch.decision.serving;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import net.jqwik.api.ForAll;
@@ -95,4 +97,101 @@
         }
         assertTrue(considered <= 2_000, considered + " of 10,000 requests considered, 1,000 within the rate");
     }
+
+    @Test
+    void tokenOfARequestThatDidNotRunIsGivenBack() {
+        AccountQuota quota = new AccountQuota(0);
+        AccountQuota.Limit limit = new AccountQuota.Limit(1, 1, 0);
+        assertTrue(quota.tryTake(limit, 1, 1_000));
+        assertFalse(quota.tryTake(limit, 1, 1_000));
+        quota.giveBack();
+        assertEquals(0, quota.getAdmitted());
+        assertTrue(quota.tryTake(limit, 1, 1_500));
+        assertFalse(quota.tryTake(limit, 1, 1_500));
+        assertEquals(1, quota.getAdmitted());
+    }
+
+    @Test
+    void refusedCallerIsToldToComeBackWhenATokenIsThereAndLaterTheMoreAreRefused() {
+        AccountQuota quota = new AccountQuota(0);
+        AccountQuota.Limit limit = new AccountQuota.Limit(4, 4, 0);
+        for (int i = 0; i < 4; i++) {
+            assertTrue(quota.tryTake(limit, 1, 1_000));
+        }
+        assertFalse(quota.tryTake(limit, 1, 1_000));
+        // A quarter of a second for one token.
+        assertEquals(250, quota.toRetryAfterMs(limit, 1, 1_000));
+        assertEquals(500, quota.toRetryAfterMs(limit, 0.5, 1_000));
+        for (int i = 0; i < 200; i++) {
+            quota.tryTake(limit, 1, 1_000);
+        }
+        assertTrue(quota.toRetryAfterMs(limit, 1, 1_000) > 1_000);
+    }
+
+    @Test
+    void demandFollowsWhatCallersAskForAndFades() {
+        AccountQuota quota = new AccountQuota(0);
+        AccountQuota.Limit limit = new AccountQuota.Limit(1, 1, 0);
+        for (long nowMs = 0; nowMs < 60_000; nowMs += 50) {
+            quota.tryTake(limit, 1, nowMs);
+        }
+        // Refused requests count too.
+        assertEquals(20, quota.getDemandPerS(60_000), 1);
+        assertEquals(20 / Math.E, quota.getDemandPerS(70_000), 1);
+    }
+
+    @Test
+    void nodeReportsAtOnceWhenItBorrowedAndNotWhenItSpentItsOwn() {
+        AccountQuota quota = new AccountQuota(0);
+        AccountQuota.Limit limit = new AccountQuota.Limit(10, 10, 30);
+        quota.onReported(limit, 0.5, 2, true, 10_000);
+        for (int i = 0; i < 5; i++) {
+            assertTrue(quota.tryTake(limit, 0.5, 10_000));
+        }
+        assertFalse(quota.isReportDue());
+        assertTrue(quota.tryTake(limit, 0.5, 10_000));
+        assertTrue(quota.isReportDue());
+        quota.onReported(limit, 0.5, 2, true, 10_000);
+        assertFalse(quota.isReportDue());
+    }
+
+    @Test
+    void nodeThatDoesNotReachAllOthersSpendsOnlyItsShare() {
+        AccountQuota quota = new AccountQuota(0);
+        AccountQuota.Limit limit = new AccountQuota.Limit(10, 10, 30);
+        quota.onReported(limit, 0.5, 2, false, 10_000);
+        int admitted = 0;
+        while (quota.tryTake(limit, 0.5, 10_000)) {
+            admitted++;
+        }
+        assertEquals(5, admitted);
+    }
+
+    @Test
+    void whatAnotherNodeHoldsIsNotBorrowed() {
+        AccountQuota.Limit limit = new AccountQuota.Limit(10, 10, 0);
+        assertEquals(5, countTaken(limit, 5));
+        assertEquals(7, countTaken(limit, 1));
+    }
+
+    /** Counts what a node with half of an account takes at once if the other one holds some tokens. */
+    private static int countTaken(AccountQuota.Limit limit, double heldByOther) {
+        AccountQuota quota = new AccountQuota(0);
+        quota.onOtherReported(limit, 0.5, "other", 0, heldByOther, 10_000);
+        quota.onReported(limit, 0.5, 2, true, 10_000);
+        int admitted = 0;
+        while (quota.tryTake(limit, 0.5, 10_000)) {
+            admitted++;
+        }
+        return admitted;
+    }
+
+    @Test
+    void sharesAddUpToOneAndIdleNodesKeepAPart() {
+        double busy = AccountQuota.toShare(30, 40, 3, 100);
+        double calm = AccountQuota.toShare(10, 40, 3, 100);
+        double idle = AccountQuota.toShare(0, 40, 3, 100);
+        assertEquals(1, busy + calm + idle, 1e-9);
+        assertTrue(idle > 0.05 && calm > idle && busy > calm, idle + " " + calm + " " + busy);
+    }
 }
--- a/decision/src/test/java/io/cranberryarch/decision/serving/InstanceChoiceTest.java
+++ b/decision/src/test/java/io/cranberryarch/decision/serving/InstanceChoiceTest.java
@@ -90,6 +90,26 @@
         assertEquals(3, place.load().getBusy());
     }
 
+    @Test
+    void otherZonesServeAZoneWithoutInstances() {
+        assertEquals("far", choose(List.of(), List.of(ofLoad("far", 100, 90))));
+    }
+
+    @Test
+    void capacityIsTheLimitLessWhatTheUpstreamFails() {
+        InstanceLoad load = new InstanceLoad();
+        load.onReport(100, 0, 0.4);
+        assertEquals(60, load.toCapacity(NOW_MS), 1e-9);
+        load.setColdUntilMs(NOW_MS + 1);
+        assertEquals(30, load.toCapacity(NOW_MS), 1e-9);
+        assertEquals(60, load.toCapacity(NOW_MS + 1), 1e-9);
+    }
+
+    @Test
+    void costIsOneForTheLastFreeSlot() {
+        assertEquals(1, ofLoad("place", 100, 99).load().toCost(NOW_MS), 1e-9);
+    }
+
     private record Place(String name, InstanceLoad load) implements InstanceChoice.Candidate {
 
         @Override
--- a/decision/src/test/java/io/cranberryarch/decision/serving/RepeatBudgetTest.java
+++ b/decision/src/test/java/io/cranberryarch/decision/serving/RepeatBudgetTest.java
@@ -1,5 +1,6 @@
 package io.cranberryarch.decision.serving;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -54,4 +55,42 @@
         }
         assertTrue(budget.tryRepeat(1, 0, 10_000));
     }
+
+    @Test
+    void nodesWithoutSendsShareTheFreeRepeatsOfTheFleet() {
+        assertEquals(25, countRepeats(new RepeatBudget(RATIO, SLACK), 1, 0));
+        assertEquals(2, countRepeats(new RepeatBudget(RATIO, SLACK), 10, 0));
+        assertEquals(0, countRepeats(new RepeatBudget(RATIO, SLACK), 100, 0));
+    }
+
+    @Test
+    void firstSendsEarnRepeatsThatAreSavedForSomeSecondsOnly() {
+        // 100 sends a second earn 12 repeats a second, of which 2 s are saved, besides the 25 free ones.
+        assertEquals(49, countRepeats(afterSends(), 1, 10_000), 1);
+        assertEquals(25, countRepeats(afterSends(), 1, 30_000), 1);
+    }
+
+    private static RepeatBudget afterSends() {
+        RepeatBudget budget = new RepeatBudget(RATIO, SLACK);
+        for (int i = 0; i < 1_000; i++) {
+            budget.onFirstSend(1, 10L * i);
+        }
+        return budget;
+    }
+
+    @Test
+    void whatIsLeftIsTold() {
+        RepeatBudget budget = new RepeatBudget(RATIO, SLACK);
+        assertEquals(25, budget.getLeft(1), 1e-9);
+        budget.tryRepeat(1, 0, 0);
+        assertEquals(24, budget.getLeft(1), 1e-9);
+    }
+
+    private static int countRepeats(RepeatBudget budget, int nodes, long nowMs) {
+        int repeats = 0;
+        while (budget.tryRepeat(nodes, 0, nowMs)) {
+            repeats++;
+        }
+        return repeats;
+    }
 }
--- a/decision/src/test/java/io/cranberryarch/decision/serving/RunRegistryTest.java
+++ b/decision/src/test/java/io/cranberryarch/decision/serving/RunRegistryTest.java
@@ -1,10 +1,13 @@
 package io.cranberryarch.decision.serving;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
@@ -37,4 +40,27 @@
             assertEquals(Optional.of(i), registry.find(deadlines[i]));
         }
     }
+
+    @Test
+    void callIsMatchedUpToTheToleranceOnEitherSide() {
+        RunRegistry<String> registry = new RunRegistry<>();
+        long deadlineMs = registry.add("run", 5_000);
+        assertFalse(registry.isEmpty());
+        assertEquals(Optional.of("run"), registry.find(deadlineMs - 2));
+        assertEquals(Optional.empty(), registry.find(deadlineMs - 3));
+        assertEquals(Optional.of("run"), registry.find(deadlineMs + 200));
+        assertEquals(Optional.empty(), registry.find(deadlineMs + 201));
+    }
+
+    @Test
+    void runsBeyondThePlaceForThemStillHaveDeadlinesOfTheirOwn() {
+        RunRegistry<Integer> registry = new RunRegistry<>();
+        Set<Long> deadlines = new HashSet<>();
+        for (int i = 0; i < 100; i++) {
+            deadlines.add(registry.add(i, 5_000));
+        }
+        assertEquals(100, deadlines.size());
+        deadlines.forEach(registry::remove);
+        assertTrue(registry.isEmpty());
+    }
 }
