--- a/app/src/main/java/io/cranberryarch/app/ServeCommand.java
+++ b/app/src/main/java/io/cranberryarch/app/ServeCommand.java
@@ -84,7 +84,9 @@
                 log);
         UpstreamReports reports = new UpstreamReports(node.getUpstream());
         HttpServer.bind(loop, settings.control(), () -> HttpLimits.DEFAULT, reports::onRequest, (status, cause) -> {
-            log.state("event=report-malformed status=" + status + " cause=\"" + cause + "\"");
+            if (log.tryRequest(loop.nowMs())) {
+                log.state("event=report-malformed status=" + status + " cause=\"" + cause + "\"");
+            }
             return HttpResponseMessage.ofEmpty(status);
         });
         node.start();
--- a/mesh/src/main/java/io/cranberryarch/mesh/Forwarder.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/Forwarder.java
@@ -76,7 +76,7 @@
         return budgets.computeIfAbsent(service, unused -> {
             metrics.gauge(
                     "repeat_budget_left{service=\"" + service + "\"}",
-                    () -> Math.floor(budgets.get(service).getLeft(peers.countNodes())));
+                    () -> Math.floor(getBudget(service).getLeft(peers.countNodes())));
             return new RepeatBudget(settings.repeatRatio(), settings.repeatSlack());
         });
     }
--- a/mesh/src/main/java/io/cranberryarch/mesh/MeshNode.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/MeshNode.java
@@ -254,7 +254,9 @@
 
     private HttpResponseMessage refuseMalformed(int status, String cause) {
         metrics.count("requests_malformed{status=\"" + status + "\"}");
-        log.state("event=request-malformed status=" + status + " cause=\"" + cause + "\"");
+        if (log.tryRequest(loop.nowMs())) {
+            log.state("event=request-malformed status=" + status + " cause=\"" + cause + "\"");
+        }
         return Refusals.of(status, Refusals.MALFORMED, 0, List.of());
     }
 
--- a/mesh/src/main/java/io/cranberryarch/mesh/UpstreamState.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/UpstreamState.java
@@ -42,6 +42,7 @@
     public UpstreamState(EventLoop loop, EventLog log) {
         this.loop = loop;
         this.log = log;
+        this.reportedAtMs = loop.nowMs();
     }
 
     /**
@@ -186,7 +187,7 @@
         return isLeaving || isNodeStopping;
     }
 
-    /** Gets the milliseconds since the upstream last reported. */
+    /** Gets the milliseconds since the upstream last reported, or since the start if it has not. */
     long getReportAgeMs() {
         return loop.nowMs() - reportedAtMs;
     }
--- a/mesh/src/test/java/io/cranberryarch/mesh/MeshNodeTest.java
+++ b/mesh/src/test/java/io/cranberryarch/mesh/MeshNodeTest.java
@@ -272,6 +272,25 @@
         }
     }
 
+    @Test
+    void metricsAreServedAfterAReload() throws Exception {
+        assertEquals(200, send("GET", "/read/7", KEY).statusCode());
+        near.loop().execute(() -> near.node().reload(near.settings()));
+        assertTrue(near.metrics().contains("repeat_budget_left{service=\"stock\"} "), near.metrics());
+    }
+
+    @Test
+    void floodOfUnreadableRequestsDoesNotFloodTheLog() throws Exception {
+        near.loop().execute(() -> near.log().setRequestLinesPerS(1));
+        for (int i = 0; i < 200; i++) {
+            try (Socket client = new Socket("127.0.0.1", near.getEntryPort())) {
+                client.getOutputStream().write("no request\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+                client.getInputStream().readAllBytes();
+            }
+        }
+        TestFleet.await(() -> fleet.getLines().stream().anyMatch(line -> line.startsWith("event=log-left-out")));
+    }
+
     @Test
     void accountOverItsRateIsToldWhenToComeBack() throws Exception {
         fleet.setAccounts(new AccountRule("ana", List.of(KEY), Optional.empty(), 1, 1));
--- a/mesh/src/test/java/io/cranberryarch/mesh/TestFleet.java
+++ b/mesh/src/test/java/io/cranberryarch/mesh/TestFleet.java
@@ -71,7 +71,7 @@
         EventLog log = closer.add(new EventLog(1_000, lines::add));
         FakeStore.View view = store.connect(loop);
         MeshNode node = new MeshNode(loop, settings, TestNames.NAMES, view, this::readRules, log);
-        Member member = new Member(settings, loop, node, upstream, view, new Thread(loop::run, name));
+        Member member = new Member(settings, loop, node, upstream, view, log, new Thread(loop::run, name));
         closer.add(member);
         members.add(member);
         return member;
@@ -168,6 +168,7 @@
             MeshNode node,
             TestUpstream upstream,
             FakeStore.View store,
+            EventLog log,
             Thread thread)
             implements AutoCloseable {
 
--- a/settings/src/main/java/io/cranberryarch/settings/IniFile.java
+++ b/settings/src/main/java/io/cranberryarch/settings/IniFile.java
@@ -210,6 +210,21 @@
         return address.orElse(new InetSocketAddress(0));
     }
 
+    /**
+     * Takes an address under which others reach this process.
+     *
+     * @param section the section
+     * @param key the key
+     * @return the address; meaningless after a fault
+     */
+    public InetSocketAddress takeReachableAddress(String section, String key) {
+        InetSocketAddress address = takeAddress(section, key);
+        if (address.getPort() > 0 && address.getAddress().isAnyLocalAddress()) {
+            addFault(section, key, "the IP:PORT under which others reach this process, not a wildcard");
+        }
+        return address;
+    }
+
     /**
      * Parses an address.
      *
