Taken back: emptying the accept backlog in a graceful stop

With a selector as acceptor the stopping thread accepts as long as callers keep connecting (stops took up to 10 s), and connections made after the close of the listener were left until the server ended.

--- a/node/src/main/java/io/cranberryarch/node/GracefulStop.java
+++ b/node/src/main/java/io/cranberryarch/node/GracefulStop.java
@@ -47,9 +47,7 @@
     }
 
     private boolean isIdle() {
-        return parts.gate().getInProgress() == 0
-                && parts.faces().getInProgress() == 0
-                && !parts.faces().isAwaitingRequests();
+        return parts.gate().getInProgress() == 0 && parts.faces().getInProgress() == 0;
     }
 
     private long toLongestTimeoutMs() {
--- a/node/src/main/java/io/cranberryarch/node/http/HttpFaces.java
+++ b/node/src/main/java/io/cranberryarch/node/http/HttpFaces.java
@@ -4,15 +4,10 @@
 import io.cranberryarch.context.RefusalReason;
 import io.cranberryarch.context.RequestHeaders;
 import io.cranberryarch.settings.NodeConfig;
-import java.io.IOException;
-import java.nio.channels.ServerSocketChannel;
-import java.nio.channels.SocketChannel;
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpHeaderValue;
-import org.eclipse.jetty.io.Connection;
-import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.HttpConfiguration;
 import org.eclipse.jetty.server.HttpConnectionFactory;
@@ -22,7 +17,6 @@
 import org.eclipse.jetty.server.ServerConnector;
 import org.eclipse.jetty.util.Callback;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
-import org.tinylog.Logger;
 
 /** The HTTP server with one port for each face of the node. */
 public final class HttpFaces implements AutoCloseable {
@@ -31,10 +25,6 @@
     private static final String LOCAL = "local";
     private static final String ADMIN = "admin";
     private static final long RETRY_AFTER_MS = 1_000;
-
-    /** How long a stop waits for the first request of a new connection; a caller sends it with the connection. */
-    private static final long FIRST_REQUEST_TIMEOUT_MS = 1_000;
-
     private static final int MAX_THREADS = 32;
     private static final int MIN_THREADS = 4;
 
@@ -104,39 +94,11 @@
         faces.closing = true;
     }
 
-    /** Takes no new connections of callers, but those that are established already and wait to be accepted. */
+    /** Takes no new connections of callers. */
     public void stopAccepting() {
-        ServerSocketChannel listener = (ServerSocketChannel) entry.getTransport();
-        try {
-            SocketChannel waiting = listener.accept();
-            while (waiting != null) {
-                waiting.configureBlocking(false);
-                entry.getSelectorManager().accept(waiting);
-                waiting = listener.accept();
-            }
-        } catch (IOException e) {
-            Logger.warn(e, "connections that wait to be accepted are lost");
-        }
         entry.close();
     }
 
-    /**
-     * Tells whether a connection of a caller has not brought its first request yet.
-     *
-     * @return whether a request is likely on its way; false for connections that stay silent
-     */
-    public boolean isAwaitingRequests() {
-        long nowMs = System.currentTimeMillis();
-        for (EndPoint endPoint : entry.getConnectedEndPoints()) {
-            boolean isNew = nowMs - endPoint.getCreatedTimeStamp() < FIRST_REQUEST_TIMEOUT_MS;
-            Connection connection = endPoint.getConnection();
-            if (isNew && (connection == null || connection.getMessagesIn() == 0)) {
-                return true;
-            }
-        }
-        return false;
-    }
-
     /** Refuses further requests of callers on open connections. */
     public void refuseNewRequests() {
         faces.refusing = true;
@@ -159,8 +121,7 @@
     private ServerConnector addConnector(String name, String host, int port) {
         HttpConfiguration http = new HttpConfiguration();
         http.setSendServerVersion(false);
-        // Without a thread of its own that accepts, the listener does not block, so that its backlog can be emptied.
-        ServerConnector connector = new ServerConnector(server, 0, 1, new HttpConnectionFactory(http));
+        ServerConnector connector = new ServerConnector(server, 1, 1, new HttpConnectionFactory(http));
         connector.setName(name);
         connector.setHost(host);
         connector.setPort(port);
