--- a/mesh/src/test/java/io/cranberryarch/mesh/MeshNodeTest.java
+++ b/mesh/src/test/java/io/cranberryarch/mesh/MeshNodeTest.java
@@ -370,6 +370,29 @@
         assertFalse(fleet.getLines().stream().anyMatch(line -> line.contains("key-of-")));
     }
 
+    @Test
+    void requestThatEndsWithoutAnAnswerHasALine() throws Exception {
+        near.upstream().setBehaviour(silent -> {});
+        far.upstream().setBehaviour(silent -> {});
+        assertEquals(
+                504,
+                TestFleet.get(fleet.send(near, "POST", "/order/1", KEY, "300")).statusCode());
+        CompletableFuture<HttpExchange> arrived = new CompletableFuture<>();
+        near.upstream().setBehaviour(arrived::complete);
+        far.upstream().setBehaviour(arrived::complete);
+        CompletableFuture<HttpResponse<String>> left = fleet.send(near, "POST", "/order/2", KEY);
+        TestFleet.get(arrived);
+        left.cancel(true);
+        near.report(2, true);
+        far.report(2, true);
+        TestFleet.await(() -> send("GET", "/read/3", KEY).statusCode() == 503);
+        for (String reason : List.of("outcome=timeout", "outcome=caller-left", "outcome=(no-instance|leaving)")) {
+            Pattern pattern = Pattern.compile(reason);
+            TestFleet.await(() -> fleet.getLines().stream()
+                    .anyMatch(line -> pattern.matcher(line).find()));
+        }
+    }
+
     @Test
     void nodeThatEndsWithItsUpstreamIsForgottenAndOneThatRestartsIsNot() throws Exception {
         TestFleet.Member third = fleet.add("node-c", "zone-a");
