Read as a newcomer: one limiter of log lines, tests of the mesh by class, plainer start of a node

Stood twice: the count of lines a second (EventLog, FailureLog; now LineLimit in base), the maps of a status (QuotaService), the start of a running request in the tests. More than needed: two counters of lines left out, two copies of the own PeerInfo in MeshNode, a wildcard address with port 0 that passed.

--- a/decision/src/main/java/io/cranberryarch/decision/serving/AccountQuota.java
+++ b/decision/src/main/java/io/cranberryarch/decision/serving/AccountQuota.java
@@ -38,15 +38,15 @@
 
     private static final double MS_PER_S = 1_000;
 
+    private final Map<String, Held> heldByOthers = new HashMap<>();
     private double tokens;
     private double attempts;
     private double borrowable;
     private double borrowed;
     private double fleetTokens;
-    private final Map<String, Held> heldByOthers = new HashMap<>();
     private double heldSum;
     private long heldAtSumMs;
-    private int others;
+    private int otherNodes;
     private long filledAtMs;
     private double demandPerS;
     private long demandAtMs;
@@ -137,7 +137,7 @@
      * @param nowMs the time in milliseconds
      */
     public void onReported(Limit limit, double share, int nodes, boolean isComplete, long nowMs) {
-        others = Math.max(0, nodes - 1);
+        otherNodes = Math.max(0, nodes - 1);
         fill(limit, share, nowMs);
         borrowed = 0;
         reportedPerS = getDemandPerS(nowMs);
@@ -196,6 +196,15 @@
         return admitted;
     }
 
+    /**
+     * Tells whether a request of the account ever came to this node.
+     *
+     * @return whether there is anything to tell the others
+     */
+    public boolean isUsed() {
+        return demandPerS > 0;
+    }
+
     /**
      * Gets the tokens in the node's own bucket, to tell the others.
      *
@@ -229,10 +238,10 @@
     /** Gets the tokens of the fleet's bucket that no node holds in its own. */
     private double toUnused(Limit limit, double share, long nowMs) {
         double mostElsewhere = (1 - share) * limit.burst();
-        int silent = Math.max(0, others - heldByOthers.size());
-        double heldElsewhere = heldSum + mostElsewhere * silent / Math.max(1, others);
+        int silent = Math.max(0, otherNodes - heldByOthers.size());
+        double heldElsewhere = heldSum + mostElsewhere * silent / Math.max(1, otherNodes);
         // Since its report, each of the others has taken in its part of the rate.
-        double sinceReportsS = (heldByOthers.size() * nowMs - heldAtSumMs) / MS_PER_S / Math.max(1, others);
+        double sinceReportsS = (heldByOthers.size() * nowMs - heldAtSumMs) / MS_PER_S / Math.max(1, otherNodes);
         heldElsewhere += (1 - share) * limit.ratePerS() * sinceReportsS;
         return fleetTokens
                 - Math.min(mostElsewhere, Math.max(0, heldElsewhere))
--- a/mesh/src/main/java/io/cranberryarch/mesh/EntryService.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/EntryService.java
@@ -150,7 +150,7 @@
             int rank = toRank(route.get());
             Optional<Long> overRateMs = account.flatMap(quotas::charge);
             if (overRateMs.isPresent()) {
-                details = quotas.describe(account.orElseThrow());
+                details = quotas.toLogFields(account.orElseThrow());
                 refuse(429, "over-rate", overRateMs.get());
                 return;
             }
@@ -302,7 +302,7 @@
                         + " account=" + account.map(AccountRule::name).orElse("-") + " nested=" + parent.isPresent()
                         + " status=" + status + " outcome=" + outcome + " took-ms=" + tookMs + " rules-version="
                         + rules.getVersion() + " rules-age-ms=" + rules.getAgeMs()
-                        + attempts.map(Forwarder.Attempts::toText).orElse("") + details);
+                        + attempts.map(Forwarder.Attempts::toLogFields).orElse("") + details);
             }
         }
     }
--- a/mesh/src/main/java/io/cranberryarch/mesh/EventLog.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/EventLog.java
@@ -1,5 +1,6 @@
 package io.cranberryarch.mesh;
 
+import io.cranberryarch.base.LineLimit;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.ArrayBlockingQueue;
@@ -19,16 +20,12 @@
 
     private static final int QUEUE_LINES = 4_096;
     private static final long FLUSH_INTERVAL_MS = 200;
-    private static final long WINDOW_MS = 1_000;
 
     private final BlockingQueue<String> queue = new ArrayBlockingQueue<>(QUEUE_LINES);
     private final AtomicLong leftOut = new AtomicLong();
-    private final AtomicLong leftOutBefore = new AtomicLong();
     private final Consumer<String> sink;
     private final Thread writer;
-    private int requestLinesPerS;
-    private long windowStartMs;
-    private int windowLines;
+    private final LineLimit requestLines;
     private volatile boolean isClosed;
 
     /**
@@ -48,7 +45,7 @@
      */
     EventLog(int requestLinesPerS, Consumer<String> sink) {
         this.sink = sink;
-        this.requestLinesPerS = requestLinesPerS;
+        this.requestLines = new LineLimit(requestLinesPerS);
         this.writer = new Thread(this::write, "log");
         writer.setDaemon(true);
         writer.start();
@@ -71,7 +68,7 @@
      * @param linesPerS the most lines a second
      */
     public void setRequestLinesPerS(int linesPerS) {
-        requestLinesPerS = linesPerS;
+        requestLines.setLinesPerS(linesPerS);
     }
 
     /**
@@ -81,12 +78,7 @@
      * @return whether the line may be logged
      */
     public boolean tryRequest(long nowMs) {
-        if (nowMs - windowStartMs >= WINDOW_MS) {
-            windowStartMs = nowMs;
-            windowLines = 0;
-        }
-        windowLines++;
-        if (windowLines <= requestLinesPerS) {
+        if (requestLines.tryLine(nowMs)) {
             return true;
         }
         leftOut.incrementAndGet();
@@ -99,7 +91,7 @@
      * @return the number of lines since the start
      */
     public long countLeftOut() {
-        return leftOutBefore.get() + leftOut.get();
+        return leftOut.get();
     }
 
     /** Writes what is queued and ends the thread. */
@@ -117,6 +109,7 @@
     private void write() {
         List<String> batch = new ArrayList<>();
         boolean isLast = false;
+        long reported = 0;
         while (!isLast) {
             isLast = isClosed;
             try {
@@ -134,10 +127,10 @@
             queue.drainTo(batch);
             batch.forEach(sink);
             batch.clear();
-            long count = leftOut.getAndSet(0);
-            leftOutBefore.addAndGet(count);
-            if (count > 0) {
-                sink.accept("event=log-left-out lines=" + count);
+            long count = leftOut.get();
+            if (count > reported) {
+                sink.accept("event=log-left-out lines=" + (count - reported));
+                reported = count;
             }
             System.out.flush();
         }
--- a/mesh/src/main/java/io/cranberryarch/mesh/Forwarder.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/Forwarder.java
@@ -123,8 +123,8 @@
             return mayHaveRun || sent > 0;
         }
 
-        /** Writes where the request was sent, for the log. */
-        String toText() {
+        /** Writes where the request was sent, as fields of a log line. */
+        String toLogFields() {
             return " attempts=" + sent + " tried=" + (tried.isEmpty() ? "-" : String.join(",", tried));
         }
 
--- a/mesh/src/main/java/io/cranberryarch/mesh/MeshNode.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/MeshNode.java
@@ -65,7 +65,6 @@
     private final QuotaService quotas;
     private final Forwarder forwarder;
     private MeshSettings settings;
-    private PeerInfo self;
     private HttpServer entryServer;
     private HttpServer readyServer;
     private HttpServer metricsServer;
@@ -93,7 +92,7 @@
         this.settings = settings;
         this.store = store;
         this.log = log;
-        this.self = new PeerInfo(settings.node(), settings.zone(), IniFile.toText(settings.peers()));
+        PeerInfo self = new PeerInfo(settings.node(), settings.zone(), IniFile.toText(settings.peers()));
         upstream = new UpstreamState(loop, log);
         rules = new RulesService(loop, store, reader, log);
         HttpClientPool connections =
@@ -157,7 +156,7 @@
      * @throws IOException if a port cannot be bound
      */
     public void start() throws IOException {
-        self = peerService.start(settings.peers());
+        peerService.start(settings.peers());
         closer.add(peerService);
         entryServer = bind(settings.entry(), entry::onRequest);
         readyServer = bind(settings.ready(), this::onReadyQuestion);
@@ -290,7 +289,9 @@
     }
 
     private void register() {
-        store.register(self, SharedStore.Callback.of(done -> readPeers(), failure -> retryStore(this::register)));
+        store.register(
+                peerService.getSelf(),
+                SharedStore.Callback.of(done -> readPeers(), failure -> retryStore(this::register)));
     }
 
     private void readPeers() {
--- a/mesh/src/main/java/io/cranberryarch/mesh/PeerService.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/PeerService.java
@@ -82,12 +82,8 @@
         this.workDemand = workDemand;
     }
 
-    /**
-     * Binds the port for peers.
-     *
-     * @return what the other nodes are told of this one
-     */
-    PeerInfo start(InetSocketAddress address) throws IOException {
+    /** Binds the port for peers and begins to keep the connections. */
+    void start(InetSocketAddress address) throws IOException {
         listener = TcpListener.bind(loop, address, connection -> {
             PeerLink link = PeerLink.accept(loop, this, connection);
             links.add(link);
@@ -99,6 +95,10 @@
             broadcastStatus();
         });
         loop.repeat(CHECK_INTERVAL_MS, this::check);
+    }
+
+    /** Gets what the other nodes are told of this one, once the port is bound. */
+    PeerInfo getSelf() {
         return self;
     }
 
--- a/mesh/src/main/java/io/cranberryarch/mesh/QuotaService.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/QuotaService.java
@@ -8,6 +8,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Function;
 
 /**
  * Holds client accounts to their rates over the whole fleet. Each node spends its share of a rate; the shares follow
@@ -73,8 +74,8 @@
         return Optional.of(quota.toRetryAfterMs(limit, share, nowMs));
     }
 
-    /** Writes what decides about requests of an account, for the log. */
-    String describe(AccountRule account) {
+    /** Writes what decides about requests of an account, as fields of a log line. */
+    String toLogFields(AccountRule account) {
         AccountQuota quota = quotas.get(account.name());
         if (quota == null) {
             return "";
@@ -164,24 +165,22 @@
 
     /** Gets the requests that this node admitted, to tell the others. */
     Map<String, Long> getAdmitted() {
-        Map<String, Long> admitted = new HashMap<>();
-        quotas.forEach((account, quota) -> {
-            if (quota.getAdmitted() != 0) {
-                admitted.put(account, quota.getAdmitted());
-            }
-        });
-        return admitted;
+        return collect(AccountQuota::getAdmitted);
     }
 
     /** Gets the tokens in the node's own buckets, to tell the others; those of unused accounts are known to be full. */
     Map<String, Double> getHeld() {
-        Map<String, Double> held = new HashMap<>();
+        return collect(AccountQuota::getHeld);
+    }
+
+    private <T> Map<String, T> collect(Function<AccountQuota, T> value) {
+        Map<String, T> values = new HashMap<>();
         quotas.forEach((account, quota) -> {
-            if (quota.getAdmitted() != 0) {
-                held.put(account, quota.getHeld());
+            if (quota.isUsed()) {
+                values.put(account, value.apply(quota));
             }
         });
-        return held;
+        return values;
     }
 
     /** Forgets what a node held that has ended or has not been heard of for long. */
--- /dev/null
+++ b/mesh/src/test/java/io/cranberryarch/mesh/EntryServiceTest.java
@@ -0,0 +1,140 @@
+package io.cranberryarch.mesh;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.cranberryarch.net.HttpExchange;
+import io.cranberryarch.net.HttpRequestMessage;
+import io.cranberryarch.settings.serving.AccountRule;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+import org.junit.jupiter.api.Test;
+
+class EntryServiceTest extends TwoNodesTest {
+
+    @Test
+    void requestsReachTheUpstreamWithAccountAndWithoutKey() throws Exception {
+        HttpResponse<String> answer = send("GET", "/read/7?x=%2F", KEY);
+        assertEquals(200, answer.statusCode());
+        assertEquals("instance-of-node-a", answer.body());
+        HttpRequestMessage seen = near.upstream().getArrived().get(0).getRequest();
+        assertEquals("/read/7?x=%2F", seen.target());
+        assertEquals(Optional.of("ana"), seen.findHeader(TestNames.NAMES.account()));
+        assertEquals(Optional.of("stock"), seen.findHeader(TestNames.NAMES.callerService()));
+        assertEquals(Optional.of("instance-of-node-a"), seen.findHeader(TestNames.NAMES.expectedInstance()));
+        assertEquals(Optional.empty(), seen.findHeader("Authorization"));
+        long leftMs =
+                Long.parseLong(seen.findHeader(TestNames.NAMES.timeoutMs()).orElseThrow());
+        assertTrue(leftMs > 0 && leftMs <= 4_000, "left " + leftMs);
+    }
+
+    @Test
+    void unknownKeysAndRoutesAreRefusedAtTheEntry() throws Exception {
+        assertEquals(401, send("GET", "/read/7", "key-of-nobody").statusCode());
+        assertEquals(404, send("GET", "/nowhere/7", KEY).statusCode());
+        assertEquals(200, send("GET", "/open/7", "").statusCode());
+        assertEquals(1, near.upstream().getArrived().size());
+    }
+
+    @Test
+    void requestWithoutKeyRunsForNobody() throws Exception {
+        // A node that has just started cannot tell it from a call of a request that it does not know.
+        assertEquals(503, send("GET", "/read/7", "").statusCode());
+        Run run = startRun();
+        assertEquals(503, send("GET", "/read/8", "").statusCode());
+        assertEquals(1, near.upstream().getArrived().size());
+        run.answer().cancel(true);
+    }
+
+    @Test
+    void nestedCallsNeedNoKeyWhileTheirRequestRuns() throws Exception {
+        Run run = startRun();
+        near.upstream().setBehaviour(nested -> near.upstream().respond(nested, 200, "nested"));
+        TestFleet.await(() -> TestFleet.get(fleet.send(near, "GET", "/read/8", "", toLeftMs(run.exchange())))
+                .body()
+                .equals("nested"));
+        near.upstream().execute(() -> near.upstream().respond(run.exchange(), 200, "root"));
+        assertEquals("root", TestFleet.get(run.answer()).body());
+    }
+
+    @Test
+    void keylessRequestOfAnotherMachineIsNoCallOfARun() throws Exception {
+        Run run = startRun();
+        near.upstream().setBehaviour(nested -> near.upstream().respond(nested, 200, "nested"));
+        int port = near.getEntryPort();
+        try (Socket client = new Socket()) {
+            client.bind(new InetSocketAddress("127.0.0.2", 0));
+            client.connect(new InetSocketAddress("127.0.0.1", port));
+            String head = "GET /read/8 HTTP/1.1\r\nHost: 127.0.0.1\r\n" + TestNames.NAMES.timeoutMs() + ": "
+                    + toLeftMs(run.exchange()) + "\r\nConnection: close\r\n\r\n";
+            client.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+            String answer = new String(client.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+            assertTrue(answer.startsWith("HTTP/1.1 401 "), answer);
+        }
+        run.answer().cancel(true);
+    }
+
+    /** Gets what is left of the time that an upstream was given for a request. */
+    private static String toLeftMs(HttpExchange exchange) {
+        long givenMs = Long.parseLong(
+                exchange.getRequest().findHeader(TestNames.NAMES.timeoutMs()).orElseThrow());
+        long passedMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime()) - exchange.getReceivedAtMs();
+        return String.valueOf(givenMs - passedMs);
+    }
+
+    @Test
+    void withdrawnKeyStopsWorkingOnOpenConnections() throws Exception {
+        assertEquals(200, send("GET", "/read/7", KEY).statusCode());
+        fleet.setAccounts(new AccountRule("ana", List.of("other-key"), Optional.empty(), 0, 0));
+        fleet.publish(3);
+        TestFleet.await(() -> send("GET", "/read/7", KEY).statusCode() == 401);
+        assertEquals(200, send("GET", "/read/7", "other-key").statusCode());
+    }
+
+    @Test
+    void requestThatCannotBeReadIsRefusedWithAReasonAndCounted() throws Exception {
+        try (Socket client = new Socket("127.0.0.1", near.getEntryPort())) {
+            client.getOutputStream()
+                    .write("GET /read/7 HTTP/1.1\r\nHost a\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+            String answer = new String(client.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+            assertTrue(answer.startsWith("HTTP/1.1 400 "), answer);
+            assertTrue(answer.endsWith("{\"reason\":\"request-malformed\",\"execution\":\"not-run\"}"), answer);
+        }
+        assertTrue(near.metrics().contains("requests_malformed{status=\"400\"} 1"), near.metrics());
+    }
+
+    @Test
+    void accountOverItsRateIsToldWhenToComeBack() throws Exception {
+        fleet.setAccounts(new AccountRule("ana", List.of(KEY), Optional.empty(), 1, 1));
+        fleet.publish(3);
+        AtomicReference<HttpResponse<String>> answer = new AtomicReference<>();
+        TestFleet.await(() -> {
+            answer.set(send("GET", "/read/7", KEY));
+            return answer.get().statusCode() == 429;
+        });
+        assertTrue(Double.parseDouble(
+                        answer.get().headers().firstValue("Retry-After").orElseThrow())
+                > 0);
+    }
+
+    @Test
+    void callerThatLeavesCancelsTheRun() throws Exception {
+        CompletableFuture<Boolean> cancelled = new CompletableFuture<>();
+        CompletableFuture<Boolean> arrived = new CompletableFuture<>();
+        near.upstream().setBehaviour(exchange -> {
+            exchange.onAbandoned(() -> cancelled.complete(true));
+            arrived.complete(true);
+        });
+        CompletableFuture<HttpResponse<String>> request = fleet.send(near, "GET", "/read/7", KEY);
+        TestFleet.get(arrived);
+        request.cancel(true);
+        assertTrue(TestFleet.get(cancelled));
+    }
+}
--- a/mesh/src/test/java/io/cranberryarch/mesh/MeshSettingsTest.java
+++ b/mesh/src/test/java/io/cranberryarch/mesh/MeshSettingsTest.java
@@ -49,6 +49,7 @@
     void addressThatOthersCannotReachIsRefused() {
         SettingsException failure = assertThrows(SettingsException.class, () -> read("0.0.0.0:1"));
         assertTrue(failure.getMessage().contains("wildcard"), failure.getMessage());
+        assertThrows(SettingsException.class, () -> read("0.0.0.0:0"));
     }
 
     @Test
--- a/mesh/src/test/java/io/cranberryarch/mesh/TestFleet.java
+++ b/mesh/src/test/java/io/cranberryarch/mesh/TestFleet.java
@@ -24,6 +24,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.Pattern;
 
 /** Nodes with their upstreams on loopback, which share a store. The document of the rules is just their version. */
 final class TestFleet implements AutoCloseable {
@@ -97,6 +98,12 @@
         return lines;
     }
 
+    /** Waits until a node has logged a line in which a pattern is found. */
+    void awaitLine(String regex) throws Exception {
+        Pattern pattern = Pattern.compile(regex);
+        await(() -> lines.stream().anyMatch(line -> pattern.matcher(line).find()));
+    }
+
     void setAccounts(AccountRule... newAccounts) {
         accounts = List.of(newAccounts);
     }
--- a/node/src/main/java/io/cranberryarch/node/http/FailureLog.java
+++ b/node/src/main/java/io/cranberryarch/node/http/FailureLog.java
@@ -1,6 +1,7 @@
 package io.cranberryarch.node.http;
 
 import io.cranberryarch.base.Clock;
+import io.cranberryarch.base.LineLimit;
 import io.cranberryarch.context.CallResult;
 import io.cranberryarch.context.Refusal;
 import java.util.function.Consumer;
@@ -16,12 +17,10 @@
     static final int LINES_PER_S = 50;
 
     private static final int SERVER_ERROR = 500;
-    private static final long WINDOW_MS = 1_000;
 
     private final Clock clock;
     private final Consumer<String> sink;
-    private long windowStartMs;
-    private int lines;
+    private final LineLimit limit = new LineLimit(LINES_PER_S);
     private long leftOut;
 
     /**
@@ -33,7 +32,6 @@
     FailureLog(Clock clock, Consumer<String> sink) {
         this.clock = clock;
         this.sink = sink;
-        this.windowStartMs = clock.monotonicMs();
     }
 
     /**
@@ -61,20 +59,14 @@
     }
 
     private synchronized boolean isWithinLimit() {
-        long nowMs = clock.monotonicMs();
-        if (nowMs - windowStartMs >= WINDOW_MS) {
-            if (leftOut > 0) {
-                sink.accept("event=log-left-out lines=" + leftOut);
-            }
-            windowStartMs = nowMs;
-            lines = 0;
-            leftOut = 0;
-        }
-        if (lines >= LINES_PER_S) {
+        if (!limit.tryLine(clock.monotonicMs())) {
             leftOut++;
             return false;
         }
-        lines++;
+        if (leftOut > 0) {
+            sink.accept("event=log-left-out lines=" + leftOut);
+            leftOut = 0;
+        }
         return true;
     }
 
--- a/settings/src/main/java/io/cranberryarch/settings/IniFile.java
+++ b/settings/src/main/java/io/cranberryarch/settings/IniFile.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.StringReader;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
@@ -207,7 +208,7 @@
         if (address.isEmpty()) {
             addFault(section, key, "an address IP:PORT");
         }
-        return address.orElse(new InetSocketAddress(0));
+        return address.orElse(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
     }
 
     /**
@@ -219,7 +220,7 @@
      */
     public InetSocketAddress takeReachableAddress(String section, String key) {
         InetSocketAddress address = takeAddress(section, key);
-        if (address.getPort() > 0 && address.getAddress().isAnyLocalAddress()) {
+        if (address.getAddress().isAnyLocalAddress()) {
             addFault(section, key, "the IP:PORT under which others reach this process, not a wildcard");
         }
         return address;
