A connection that cannot be opened while a node ends fails as not sent

Cause: PeerNetwork.open caught IllegalArgumentException, IllegalStateException and UnsupportedOperationException, most of which would be faults of ours, and not the RejectedExecutionException that a stopped timer throws: it went up through the round of members, logged as 'member-news-failed' at the end of nodes in tests, and left the channel open. It now catches by name what these calls throw, closes the channel, and says so in the failure; a channel that cannot be set up is closed too.

--- a/node/src/main/java/io/cranberryarch/node/peer/PeerNetwork.java
+++ b/node/src/main/java/io/cranberryarch/node/peer/PeerNetwork.java
@@ -9,10 +9,14 @@
 import java.nio.channels.AsynchronousServerSocketChannel;
 import java.nio.channels.AsynchronousSocketChannel;
 import java.nio.channels.CompletionHandler;
+import java.nio.channels.ShutdownChannelGroupException;
+import java.nio.channels.UnresolvedAddressException;
+import java.nio.channels.UnsupportedAddressTypeException;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.tinylog.Logger;
@@ -149,24 +153,39 @@
     }
 
     private void open(InetSocketAddress address, CompletableFuture<PeerConnection> target) {
+        AsynchronousSocketChannel channel;
+        try {
+            channel = AsynchronousSocketChannel.open(group);
+        } catch (IOException | ShutdownChannelGroupException e) {
+            target.completeExceptionally(new PeerLostException("no channel: " + e, false));
+            return;
+        }
         try {
-            AsynchronousSocketChannel channel = AsynchronousSocketChannel.open(group);
             var timeout =
                     timer.schedule(() -> closeUnconnected(channel, target), CONNECT_TIMEOUT_MS, TimeUnit.MILLISECONDS);
             target.whenComplete((connection, failure) -> timeout.cancel(false));
             channel.connect(address, null, new ConnectHandler(channel, target));
-        } catch (IOException | IllegalArgumentException | IllegalStateException | UnsupportedOperationException e) {
-            target.completeExceptionally(new PeerLostException(String.valueOf(e.getMessage()), false));
+        } catch (UnresolvedAddressException
+                | UnsupportedAddressTypeException
+                | ShutdownChannelGroupException
+                | RejectedExecutionException e) {
+            // The address is of no use, or the node is ending.
+            close(channel);
+            target.completeExceptionally(new PeerLostException("no connection: " + e, false));
         }
     }
 
     private static void closeUnconnected(AsynchronousSocketChannel channel, CompletableFuture<PeerConnection> target) {
         if (target.completeExceptionally(new PeerLostException("no connection in time", false))) {
-            try {
-                channel.close();
-            } catch (IOException e) {
-                Logger.debug("peer-close-failed reason=\"{}\"", e.getMessage());
-            }
+            close(channel);
+        }
+    }
+
+    private static void close(AsynchronousSocketChannel channel) {
+        try {
+            channel.close();
+        } catch (IOException e) {
+            Logger.debug("peer-close-failed reason=\"{}\"", e.getMessage());
         }
     }
 
@@ -226,6 +245,7 @@
                 register(channel, false);
             } catch (IOException e) {
                 Logger.debug("peer-accept-failed reason=\"{}\"", e.getMessage());
+                close(channel);
             }
         }
 
@@ -260,6 +280,7 @@
                     }
                 });
             } catch (IOException e) {
+                close(channel);
                 failed(e, null);
             }
         }
