--- a/decision/src/main/java/io/cranberryarch/decision/membership/Membership.java
+++ b/decision/src/main/java/io/cranberryarch/decision/membership/Membership.java
@@ -30,21 +30,17 @@
     public static final long GONE_RETENTION_MS = 6 * 3_600_000;
 
     private static final int MAX_SYNC_RECORDS = 200;
-    private static final int INDIRECT_PROBES = 2;
     private static final int RECONNECT_ROUNDS = 10;
-    private static final long ISOLATION_MS = 3_000;
 
     private final MemberTable table = new MemberTable();
     private final MemberNews news = new MemberNews();
-    private final Map<String, Long> suspectedAtMs = new HashMap<>();
-    private final Map<String, Integer> indirectLeft = new HashMap<>();
+    private final FailureDetector detector;
     private final Map<String, Integer> failuresByZone = new HashMap<>();
     private Member self;
     private boolean replaced;
     private boolean changed;
     private Overlay overlay;
     private long overlayChanges = -1;
-    private long answeredAtMs;
     private int round;
 
     /**
@@ -55,7 +51,7 @@
      */
     public Membership(Member self, long nowMs) {
         this.self = self;
-        this.answeredAtMs = nowMs;
+        this.detector = new FailureDetector(table, nowMs);
         table.merge(self, nowMs);
     }
 
@@ -136,14 +132,16 @@
      * @return the probes of this round
      */
     public List<Probe> onRound(long nowMs, long randomBits) {
-        judgeSuspects(nowMs);
+        for (Member gone : detector.findGone(self.zone(), nowMs)) {
+            mergeOther(gone, nowMs);
+        }
         table.expire(nowMs - GONE_RETENTION_MS);
         List<Member> targets = new ArrayList<>();
         addOne(targets, getOverlay().getNeighbours());
         addOne(targets, getOverlay().findRemote(failuresByZone));
-        List<Member> gone = table.findGone();
-        if (round % RECONNECT_ROUNDS == 0 && !gone.isEmpty()) {
-            targets.add(gone.get((int) Long.remainderUnsigned(randomBits, gone.size())));
+        List<Member> lost = table.findGone();
+        if (round % RECONNECT_ROUNDS == 0 && !lost.isEmpty()) {
+            targets.add(lost.get((int) Long.remainderUnsigned(randomBits, lost.size())));
         }
         round++;
         return toProbes(targets, true);
@@ -193,8 +191,7 @@
      * @return what to tell the peer next, at once, or empty
      */
     public Optional<MemberDelta> onAnswer(String peer, MemberDelta delta, long nowMs) {
-        answeredAtMs = nowMs;
-        indirectLeft.remove(peer);
+        detector.onAnswer(peer, nowMs);
         table.find(peer).ifPresent(member -> failuresByZone.remove(member.zone()));
         boolean isNews = mergeAll(delta.members(), nowMs);
         if (delta.digest() == table.getDigest() || delta.bucketDigests().isEmpty()) {
@@ -221,14 +218,9 @@
             failuresByZone.merge(target.zone(), 1, Integer::sum);
             return List.of();
         }
-        List<IndirectProbe> probes = new ArrayList<>();
-        for (Member via : findHelpers(target, randomBits)) {
-            probes.add(new IndirectProbe(via, target));
-        }
+        List<IndirectProbe> probes = detector.onFailure(self, target, randomBits);
         if (probes.isEmpty()) {
             suspect(target, nowMs);
-        } else {
-            indirectLeft.put(target.instance(), probes.size());
         }
         return probes;
     }
@@ -241,40 +233,13 @@
      * @param nowMs monotonic time in milliseconds
      */
     public void onIndirect(Member target, boolean isAnswered, long nowMs) {
-        Integer left = indirectLeft.get(target.instance());
-        if (left == null) {
-            return;
-        }
-        if (isAnswered) {
-            indirectLeft.remove(target.instance());
-        } else if (left > 1) {
-            indirectLeft.put(target.instance(), left - 1);
-        } else {
-            indirectLeft.remove(target.instance());
+        if (detector.onIndirect(target, isAnswered)) {
             suspect(target, nowMs);
         }
     }
 
     private void suspect(Member target, long nowMs) {
-        boolean isIsolated = table.findLive().size() > 2 && nowMs - answeredAtMs > ISOLATION_MS;
-        Optional<Member> known = table.find(target.instance());
-        if (isIsolated || known.isEmpty() || known.get().incarnation() != target.incarnation()) {
-            return;
-        }
-        mergeOther(known.get().toJudged(MemberState.SUSPECT), nowMs);
-    }
-
-    private void judgeSuspects(long nowMs) {
-        for (String instance : List.copyOf(suspectedAtMs.keySet())) {
-            Optional<Member> known = table.find(instance);
-            if (known.isEmpty() || known.get().state() != MemberState.SUSPECT) {
-                suspectedAtMs.remove(instance);
-            } else if (nowMs - suspectedAtMs.get(instance) >= SUSPICION_MS
-                    && known.get().zone().equals(self.zone())) {
-                suspectedAtMs.remove(instance);
-                mergeOther(known.get().toJudged(MemberState.GONE), nowMs);
-            }
-        }
+        detector.toSuspect(target, nowMs).ifPresent(suspected -> mergeOther(suspected, nowMs));
     }
 
     private boolean mergeAll(Collection<Member> members, long nowMs) {
@@ -303,30 +268,13 @@
             return false;
         }
         if (member.state() == MemberState.SUSPECT) {
-            suspectedAtMs.put(member.instance(), nowMs);
+            detector.onSuspected(member.instance(), nowMs);
         }
         news.add(member.instance(), table.findLive().size());
         changed = true;
         return true;
     }
 
-    private List<Member> findHelpers(Member target, long randomBits) {
-        List<Member> helpers = new ArrayList<>();
-        for (Member member : table.findLive()) {
-            boolean isHelper = member.state() != MemberState.SUSPECT
-                    && member.zone().equals(self.zone())
-                    && !member.instance().equals(target.instance())
-                    && !member.instance().equals(self.instance());
-            if (isHelper) {
-                helpers.add(member);
-            }
-        }
-        helpers.sort((a, b) -> Long.compare(
-                MemberHash.toRank(String.valueOf(randomBits), a.instance()),
-                MemberHash.toRank(String.valueOf(randomBits), b.instance())));
-        return helpers.subList(0, Math.min(INDIRECT_PROBES, helpers.size()));
-    }
-
     private List<Member> findDiffering(MemberDelta delta) {
         return table.findDiffering(delta.bucketDigests(), round, MAX_SYNC_RECORDS);
     }
--- a/node/src/main/java/io/cranberryarch/node/config/SettingsCommits.java
+++ b/node/src/main/java/io/cranberryarch/node/config/SettingsCommits.java
@@ -19,12 +19,19 @@
     private static final int MAX_ATTEMPTS = 20;
 
     private final SettingsService settings;
+    private final SettingsReader reader;
     private final SettingsLog log;
     private final WithdrawalService withdrawals;
     private final Clock clock;
 
-    SettingsCommits(SettingsService settings, SettingsLog log, WithdrawalService withdrawals, Clock clock) {
+    SettingsCommits(
+            SettingsService settings,
+            SettingsReader reader,
+            SettingsLog log,
+            WithdrawalService withdrawals,
+            Clock clock) {
         this.settings = settings;
+        this.reader = reader;
         this.log = log;
         this.withdrawals = withdrawals;
         this.clock = clock;
@@ -34,7 +41,7 @@
     long propose(String changeId, String author, long baseVersion, String subtree, List<SettingEdit> edits)
             throws SettingsConflictException, SettingsException, PlatformException {
         for (int i = 0; i < MAX_ATTEMPTS; i++) {
-            settings.readLog();
+            reader.readLog();
             List<SettingChange> later = readAfter(baseVersion);
             Optional<Long> accepted = findAccepted(later, changeId);
             if (accepted.isPresent()) {
--- a/node/src/main/java/io/cranberryarch/node/config/SettingsService.java
+++ b/node/src/main/java/io/cranberryarch/node/config/SettingsService.java
@@ -26,7 +26,6 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.tinylog.Logger;
 
@@ -39,25 +38,16 @@
 public final class SettingsService {
 
     private static final long POLL_INTERVAL_MS = 500;
-    private static final long FALLBACK_POLL_MS = 30_000;
-    private static final long RETRY_POLL_MS = 1_500;
-    private static final int SNAPSHOT_CHANGES = 500;
 
-    private final SettingsLog log;
-    private final SettingsSnapshots snapshots;
     private final WithdrawalService withdrawals;
+    private final SettingsReader reader;
     private final SettingsCommits commits;
     private final PeerNetwork network;
     private final NodeMetrics metrics;
-    private final Clock clock;
     private final SettingsHistory history = new SettingsHistory();
     private volatile State state;
     private volatile boolean ready;
-    private volatile boolean platformReachable;
-    private volatile boolean delegate;
     private volatile Runnable listener = () -> {};
-    private long nextFullPollMs;
-    private long snapshotVersion;
 
     /**
      * Creates the service with empty settings.
@@ -70,13 +60,12 @@
      */
     public SettingsService(
             TableStore table, ObjectStore objects, PeerNetwork network, NodeMetrics metrics, Clock clock) {
-        this.log = new SettingsLog(table);
-        this.snapshots = new SettingsSnapshots(objects);
+        SettingsLog log = new SettingsLog(table);
         this.withdrawals = new WithdrawalService(new WithdrawalStore(table), metrics);
-        this.commits = new SettingsCommits(this, log, withdrawals, clock);
+        this.reader = new SettingsReader(this, log, new SettingsSnapshots(objects), withdrawals, clock);
+        this.commits = new SettingsCommits(this, reader, log, withdrawals, clock);
         this.network = network;
         this.metrics = metrics;
-        this.clock = clock;
         this.state = toState(SettingTree.EMPTY);
     }
 
@@ -104,7 +93,7 @@
      * @param isDelegate whether it does
      */
     public void setDelegate(boolean isDelegate) {
-        delegate = isDelegate;
+        reader.setDelegate(isDelegate);
     }
 
     /**
@@ -149,7 +138,7 @@
      * @return whether it succeeded
      */
     public boolean isPlatformReachable() {
-        return platformReachable;
+        return reader.isPlatformReachable();
     }
 
     /**
@@ -171,7 +160,7 @@
     public boolean addWithdrawnKeys(Collection<String> keyIds) {
         boolean isNew = withdrawals.add(keyIds);
         if (isNew) {
-            listener.run();
+            onWithdrawn();
         }
         return isNew;
     }
@@ -290,74 +279,22 @@
         }
     }
 
-    /** Reads the platform if that is due: always at a delegate, rarely at other nodes. Blocks. */
+    /** Reads the platform if that is due. Blocks. */
     void poll() {
-        long nowMs = clock.monotonicMs();
-        try {
-            boolean isFull = nowMs >= nextFullPollMs;
-            if (!isFull && !delegate) {
-                withdrawals.storeNew();
-                return;
-            }
-            if (isFull && getVersion() == 0) {
-                snapshots.read().ifPresent(this::replace);
-            }
-            if (isFull && withdrawals.readAll()) {
-                listener.run();
-            }
-            readLog();
-            withdrawals.storeNew();
-            writeSnapshot();
-            if (isFull) {
-                nextFullPollMs = nowMs + toJittered(FALLBACK_POLL_MS);
-            }
-            markPlatform(true);
-        } catch (PlatformException e) {
-            if (platformReachable) {
-                Logger.warn("platform-unreachable reason=\"{}\"", e.getMessage());
-            }
-            markPlatform(false);
-            nextFullPollMs = nowMs + toJittered(ready ? FALLBACK_POLL_MS : RETRY_POLL_MS);
-        } catch (RuntimeException e) {
-            Logger.error(e, "settings-poll-failed");
-        }
-    }
-
-    private static long toJittered(long ms) {
-        return ms + ThreadLocalRandom.current().nextLong(ms);
+        reader.poll();
     }
 
-    private void markPlatform(boolean isAnswered) {
-        if (isAnswered && !platformReachable) {
-            Logger.info("platform-reachable version={}", getVersion());
-        }
-        platformReachable = isAnswered;
+    /** Notes whether the platform answered. */
+    void onPlatform(boolean isAnswered) {
         synchronized (history) {
             history.onPlatform(isAnswered);
             ready = history.isReady(0);
         }
     }
 
-    void readLog() throws PlatformException {
-        List<SettingChange> newer = log.readAfter(getVersion());
-        while (!newer.isEmpty()) {
-            apply(newer);
-            newer = log.readAfter(getVersion());
-        }
-    }
-
-    private void writeSnapshot() throws PlatformException {
-        SettingTree tree = getTree();
-        if (!delegate || tree.getVersion() - snapshotVersion < SNAPSHOT_CHANGES) {
-            return;
-        }
-        long stored = snapshots.read().map(SettingTree::getVersion).orElse(0L);
-        if (tree.getVersion() - stored >= SNAPSHOT_CHANGES) {
-            snapshots.write(tree);
-            Logger.info("settings-snapshot-written version={}", tree.getVersion());
-            stored = tree.getVersion();
-        }
-        snapshotVersion = stored;
+    /** Notes that keys were withdrawn. */
+    void onWithdrawn() {
+        listener.run();
     }
 
     private void onPush(Message message, Throwable failure) {
@@ -370,7 +307,7 @@
         apply(push.changes());
     }
 
-    private void replace(SettingTree tree) {
+    void replace(SettingTree tree) {
         synchronized (history) {
             if (!history.replace(tree)) {
                 return;
--- a/node/src/main/java/io/cranberryarch/node/member/MemberService.java
+++ b/node/src/main/java/io/cranberryarch/node/member/MemberService.java
@@ -1,9 +1,7 @@
 package io.cranberryarch.node.member;
 
 import io.cranberryarch.base.Clock;
-import io.cranberryarch.decision.membership.IndirectProbe;
 import io.cranberryarch.decision.membership.Member;
-import io.cranberryarch.decision.membership.MemberDelta;
 import io.cranberryarch.decision.membership.MemberState;
 import io.cranberryarch.decision.membership.Membership;
 import io.cranberryarch.decision.membership.Probe;
@@ -13,34 +11,27 @@
 import io.cranberryarch.node.peer.PeerConnection;
 import io.cranberryarch.node.peer.PeerNetwork;
 import io.cranberryarch.wire.Frame;
-import io.cranberryarch.wire.GossipMessage;
-import io.cranberryarch.wire.Message;
-import io.cranberryarch.wire.ProbeAnswerMessage;
-import io.cranberryarch.wire.ProbeMessage;
 import java.net.InetSocketAddress;
 import java.util.Collection;
 import java.util.List;
-import java.util.Optional;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.tinylog.Logger;
 
-/** Exchanges member records, withdrawn keys and the settings version with the peers that the decision names. */
+/** Knows the members of the fleet, and tells peers at intervals and when something changes. Thread-safe. */
 public final class MemberService {
 
-    private static final long PROBE_TIMEOUT_MS = 1_000;
     private static final long SPREAD_DELAY_MS = 10;
     private static final int SEED_ROUNDS = 60;
 
-    private final PeerNetwork network;
     private final SettingsService settings;
     private final NodeMetrics metrics;
     private final Clock clock;
     private final List<InetSocketAddress> seeds;
     private final Membership membership;
+    private final MemberExchange exchange;
     private final AtomicBoolean spreading = new AtomicBoolean();
     private volatile ScheduledExecutorService timer;
     private int round;
@@ -68,7 +59,6 @@
             SettingsService settings,
             NodeMetrics metrics,
             Clock clock) {
-        this.network = network;
         this.settings = settings;
         this.metrics = metrics;
         this.clock = clock;
@@ -84,6 +74,7 @@
                 peerPort,
                 slots);
         this.membership = new Membership(self, clock.monotonicMs());
+        this.exchange = new MemberExchange(network, settings, membership, clock, this::spreadChanges);
     }
 
     /**
@@ -93,6 +84,7 @@
      */
     public void start(ScheduledExecutorService newTimer) {
         timer = newTimer;
+        exchange.start(newTimer);
         settings.setListener(this::spread);
         newTimer.scheduleAtFixedRate(this::runRound, 0, Membership.ROUND_MS, TimeUnit.MILLISECONDS);
     }
@@ -177,18 +169,7 @@
      * @param frame the frame with the gossip
      */
     public void onGossip(PeerConnection connection, Frame frame) {
-        GossipMessage gossip = (GossipMessage) frame.message();
-        settings.addWithdrawnKeys(gossip.withdrawnKeys());
-        MemberDelta answer;
-        synchronized (membership) {
-            answer = membership.onDelta(MemberMessages.toDelta(gossip), clock.monotonicMs());
-        }
-        List<String> keys = settings.toWithdrawnAnswer(gossip.withdrawnDigest());
-        connection.send(frame.id(), toMessage(true, answer, keys));
-        find(connection.getPeerInstance())
-                .ifPresent(peer ->
-                        settings.onPeerVersion(peer.instance(), toAddress(peer), gossip.settingsVersion(), toQuorum()));
-        spreadChanges();
+        exchange.onGossip(connection, frame);
     }
 
     /**
@@ -198,18 +179,7 @@
      * @param frame the frame with the request
      */
     public void onProbe(PeerConnection connection, Frame frame) {
-        Optional<Member> target = MemberMessages.toMember(((ProbeMessage) frame.message()).target());
-        if (target.isEmpty()) {
-            connection.send(frame.id(), new ProbeAnswerMessage(false));
-            return;
-        }
-        MemberDelta greeting;
-        synchronized (membership) {
-            greeting = membership.toGreeting();
-        }
-        request(toAddress(target.get()), toRequest(greeting), PROBE_TIMEOUT_MS)
-                .whenComplete((answer, failure) ->
-                        connection.send(frame.id(), new ProbeAnswerMessage(answer instanceof GossipMessage)));
+        exchange.onProbe(connection, frame);
     }
 
     /**
@@ -241,9 +211,9 @@
                 isAlone = membership.isAlone();
                 settings.setDelegate(membership.isDelegate());
             }
-            probes.forEach(this::send);
+            probes.forEach(exchange::send);
             if (!seeds.isEmpty() && (isAlone || round % SEED_ROUNDS == 0)) {
-                greet(seeds.get(ThreadLocalRandom.current().nextInt(seeds.size())));
+                exchange.greet(seeds.get(ThreadLocalRandom.current().nextInt(seeds.size())));
             }
             round++;
             spreadChanges();
@@ -259,7 +229,7 @@
             synchronized (membership) {
                 probes = membership.onNews();
             }
-            probes.forEach(this::send);
+            probes.forEach(exchange::send);
         } catch (RuntimeException e) {
             Logger.error(e, "member-news-failed");
         }
@@ -276,112 +246,6 @@
         }
     }
 
-    private void greet(InetSocketAddress seed) {
-        MemberDelta greeting;
-        synchronized (membership) {
-            greeting = membership.toGreeting();
-        }
-        exchange(seed, greeting);
-    }
-
-    private void send(Probe probe) {
-        exchange(toAddress(probe.target()), probe.delta()).whenComplete((done, failure) -> {
-            if (failure != null && probe.isJudged()) {
-                onFailure(probe.target(), failure);
-            }
-        });
-    }
-
-    private CompletableFuture<Message> exchange(InetSocketAddress address, MemberDelta delta) {
-        return request(address, toRequest(delta), PROBE_TIMEOUT_MS).whenComplete((message, failure) -> {
-            if (message instanceof GossipMessage gossip) {
-                onAnswer(address, gossip);
-            }
-        });
-    }
-
-    private void onAnswer(InetSocketAddress address, GossipMessage gossip) {
-        Optional<Member> peer = findByAddress(address);
-        settings.addWithdrawnKeys(gossip.withdrawnKeys());
-        settings.onWithdrawnAnswer(gossip.withdrawnDigest());
-        Optional<MemberDelta> next;
-        synchronized (membership) {
-            next = membership.onAnswer(
-                    peer.map(Member::instance).orElse(""), MemberMessages.toDelta(gossip), clock.monotonicMs());
-        }
-        settings.onPeerVersion(
-                peer.map(Member::instance).orElse(address.toString()), address, gossip.settingsVersion(), toQuorum());
-        spreadChanges();
-        next.ifPresent(delta -> exchange(address, delta));
-    }
-
-    private void onFailure(Member target, Throwable failure) {
-        Logger.debug("probe-unanswered instance={} reason=\"{}\"", target.instance(), failure.getMessage());
-        List<IndirectProbe> probes;
-        synchronized (membership) {
-            probes = membership.onFailure(target, clock.monotonicMs(), nextRandom());
-        }
-        for (IndirectProbe probe : probes) {
-            ProbeMessage message = new ProbeMessage(MemberMessages.toRecord(probe.target()));
-            request(toAddress(probe.via()), message, 2 * PROBE_TIMEOUT_MS)
-                    .whenComplete((answer, lost) -> onIndirect(probe, answer));
-        }
-        spreadChanges();
-    }
-
-    private void onIndirect(IndirectProbe probe, Message answer) {
-        boolean isAnswered = answer instanceof ProbeAnswerMessage result && result.isAnswered();
-        synchronized (membership) {
-            membership.onIndirect(probe.target(), isAnswered, clock.monotonicMs());
-        }
-        spreadChanges();
-    }
-
-    private CompletableFuture<Message> request(InetSocketAddress address, Message message, long timeoutMs) {
-        CompletableFuture<Message> answer = network.connect(address).thenCompose(connection -> {
-            PeerConnection.PendingRequest pending = connection.request(message);
-            timer.schedule(() -> connection.forget(pending.id()), timeoutMs, TimeUnit.MILLISECONDS);
-            return pending.answer();
-        });
-        return answer.orTimeout(timeoutMs, TimeUnit.MILLISECONDS);
-    }
-
-    private GossipMessage toRequest(MemberDelta delta) {
-        return toMessage(false, delta, settings.toWithdrawnRequest());
-    }
-
-    private GossipMessage toMessage(boolean isAnswer, MemberDelta delta, List<String> keys) {
-        return new GossipMessage(
-                isAnswer,
-                settings.getVersion(),
-                delta.digest(),
-                delta.bucketDigests(),
-                MemberMessages.toRecords(delta),
-                settings.getWithdrawnDigest(),
-                keys);
-    }
-
-    private Optional<Member> find(String instance) {
-        synchronized (membership) {
-            return membership.getTable().find(instance);
-        }
-    }
-
-    private Optional<Member> findByAddress(InetSocketAddress address) {
-        for (Member member : getMembers()) {
-            if (member.state().isLive() && toAddress(member).equals(address)) {
-                return Optional.of(member);
-            }
-        }
-        return Optional.empty();
-    }
-
-    private int toQuorum() {
-        synchronized (membership) {
-            return membership.getTable().findLive().size() - 1;
-        }
-    }
-
     private static long nextRandom() {
         return ThreadLocalRandom.current().nextLong();
     }
--- a/node/src/main/java/io/cranberryarch/node/peer/PeerConnection.java
+++ b/node/src/main/java/io/cranberryarch/node/peer/PeerConnection.java
@@ -10,11 +10,8 @@
 import io.cranberryarch.wire.PingMessage;
 import io.cranberryarch.wire.ProofMessage;
 import java.io.IOException;
-import java.nio.ByteBuffer;
 import java.nio.channels.AsynchronousSocketChannel;
-import java.nio.channels.CompletionHandler;
 import java.util.Map;
-import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -39,16 +36,15 @@
     static final long SILENCE_TIMEOUT_MS = 2_000;
 
     private static final String CLOSED_BY_SELF = "closed by this node";
-    private static final int READ_BUFFER_BYTES = 16 * 1024;
-    private static final int MAX_HANDSHAKE_BYTES = 1_024;
 
     private final AsynchronousSocketChannel channel;
     private final Handshake handshake;
     private final PeerHandler handler;
     private final Clock clock;
     private final FrameWriter writer;
+    private final FrameReader reader;
     private final CompletableFuture<PeerConnection> ready = new CompletableFuture<>();
-    private final Map<Long, CompletableFuture<Message>> pending = new ConcurrentHashMap<>();
+    private final PendingRequests pending = new PendingRequests();
     private final Map<Long, CompletableFuture<?>> served = new ConcurrentHashMap<>();
     private final AtomicLong nextId = new AtomicLong(1);
     private final AtomicBoolean closed = new AtomicBoolean();
@@ -58,7 +54,6 @@
     private volatile boolean retired;
     private long acceptsUpTo = Long.MAX_VALUE;
     private long lastReceivedId;
-    private ByteBuffer input = ByteBuffer.allocate(READ_BUFFER_BYTES);
 
     PeerConnection(AsynchronousSocketChannel channel, Handshake handshake, PeerHandler handler, Clock clock) {
         this.channel = channel;
@@ -66,13 +61,14 @@
         this.handler = handler;
         this.clock = clock;
         this.writer = new FrameWriter(channel, this::onFailure, () -> heardAtMs = clock.monotonicMs());
+        this.reader = new FrameReader(channel, new Frames(), this::onFailure);
         this.openedAtMs = clock.monotonicMs();
         this.heardAtMs = openedAtMs;
     }
 
     void start() {
         send(0, handshake.getOwnHello());
-        read();
+        reader.read();
     }
 
     /**
@@ -130,15 +126,15 @@
             answer.completeExceptionally(new PeerLostException("the connection is closed", false));
             return new PendingRequest(id, answer);
         }
-        pending.put(id, answer);
+        pending.add(id, answer);
         if (!trySend(id, message)) {
-            fail(id, "too many bytes wait for the peer", false);
+            pending.fail(id, "too many bytes wait for the peer", false);
         }
         if (closed.get()) {
-            fail(id, "the connection was closed", true);
+            pending.fail(id, "the connection was closed", true);
         }
         if (id > peerAcceptsUpTo) {
-            fail(id, "the peer is leaving", false);
+            pending.fail(id, "the peer is leaving", false);
         }
         return new PendingRequest(id, answer);
     }
@@ -149,7 +145,7 @@
      * @param id the number of the request
      */
     public void forget(long id) {
-        pending.remove(id);
+        pending.forget(id);
     }
 
     /**
@@ -264,16 +260,7 @@
         }
         ready.completeExceptionally(new PeerLostException(reason, false));
         served.values().forEach(answer -> answer.cancel(false));
-        for (Long id : pending.keySet()) {
-            fail(id, reason, true);
-        }
-    }
-
-    private void fail(long id, String reason, boolean isSent) {
-        CompletableFuture<Message> answer = pending.remove(id);
-        if (answer != null) {
-            answer.completeExceptionally(new PeerLostException(reason, isSent));
-        }
+        pending.failAfter(0, reason, true);
     }
 
     private boolean trySend(long id, Message message) {
@@ -292,49 +279,6 @@
         close(String.valueOf(failure.getMessage()));
     }
 
-    private void read() {
-        channel.read(input, null, new ReadHandler());
-    }
-
-    private void onRead(int count) {
-        if (count < 0) {
-            close("the peer closed the connection");
-            return;
-        }
-        heardAtMs = clock.monotonicMs();
-        input.flip();
-        try {
-            for (Optional<Frame> frame = FrameCodec.decode(input);
-                    frame.isPresent();
-                    frame = FrameCodec.decode(input)) {
-                onFrame(frame.get());
-            }
-        } catch (MalformedFrameException e) {
-            onFailure(e);
-            return;
-        }
-        try {
-            makeRoom();
-        } catch (MalformedFrameException e) {
-            onFailure(e);
-            return;
-        }
-        read();
-    }
-
-    private void makeRoom() throws MalformedFrameException {
-        int length = input.remaining() < FrameCodec.LENGTH_BYTES ? 0 : input.getInt(input.position());
-        if (length > MAX_HANDSHAKE_BYTES && !ready.isDone()) {
-            throw new MalformedFrameException("length " + length + " before the proof");
-        }
-        int wanted = Math.max(READ_BUFFER_BYTES, length + FrameCodec.LENGTH_BYTES);
-        if (wanted == input.capacity()) {
-            input.compact();
-            return;
-        }
-        input = ByteBuffer.allocate(wanted).put(input);
-    }
-
     private void onFrame(Frame frame) throws MalformedFrameException {
         Message message = frame.message();
         switch (message.getType()) {
@@ -358,7 +302,8 @@
             }
             case CANCEL -> onCancel(frame.id());
             case GO_AWAY -> onGoAway((GoAwayMessage) frame.message());
-            case ANSWER, GOSSIP_ANSWER, PROBE_ANSWER, SETTINGS_PUSH, TOKEN_ANSWER -> onAnswer(frame);
+            case ANSWER, GOSSIP_ANSWER, PROBE_ANSWER, SETTINGS_PUSH, TOKEN_ANSWER ->
+                pending.complete(frame.id(), frame.message());
             default -> {
                 if (accept(frame.id())) {
                     handler.onFrame(this, frame);
@@ -377,11 +322,7 @@
 
     private void onGoAway(GoAwayMessage message) {
         peerAcceptsUpTo = message.lastRequestId();
-        for (Long id : pending.keySet()) {
-            if (id > message.lastRequestId()) {
-                fail(id, "the peer is leaving", false);
-            }
-        }
+        pending.failAfter(message.lastRequestId(), "the peer is leaving", false);
     }
 
     private void onCancel(long id) {
@@ -391,13 +332,6 @@
         }
     }
 
-    private void onAnswer(Frame frame) {
-        CompletableFuture<Message> answer = pending.remove(frame.id());
-        if (answer != null) {
-            answer.complete(frame.message());
-        }
-    }
-
     /**
      * A request that waits for its answer.
      *
@@ -406,17 +340,27 @@
      */
     public record PendingRequest(long id, CompletableFuture<Message> answer) {}
 
-    /** Continues after each read. */
-    private final class ReadHandler implements CompletionHandler<Integer, Void> {
+    /** Takes what the peer sends. */
+    private final class Frames implements FrameReader.Listener {
+
+        @Override
+        public void onBytes() {
+            heardAtMs = clock.monotonicMs();
+        }
 
         @Override
-        public void completed(Integer count, Void unused) {
-            onRead(count);
+        public void onFrame(Frame frame) throws MalformedFrameException {
+            PeerConnection.this.onFrame(frame);
+        }
+
+        @Override
+        public void onEnd() {
+            close("the peer closed the connection");
         }
 
         @Override
-        public void failed(Throwable failure, Void unused) {
-            onFailure(failure);
+        public boolean isProved() {
+            return ready.isDone();
         }
     }
 }
