A read of the platform is sent once more if its connection was closed

Cause of SettingsFleetTest.lostAnswerOfACommit... in KNOWN-RED: the platform's stand-in closes a connection after a lost answer, and the next read was sent on it before the client had noticed. Ruled out: leases, the change itself, the timeout (the failed read took a few ms).

Only reads are sent again, only if the connection was closed, and once.

--- a/store/src/main/java/io/cranberryarch/store/HttpPlatform.java
+++ b/store/src/main/java/io/cranberryarch/store/HttpPlatform.java
@@ -1,9 +1,11 @@
 package io.cranberryarch.store;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
+import java.io.EOFException;
 import java.io.IOException;
 import java.net.URI;
 import java.net.URLEncoder;
+import java.nio.channels.ClosedChannelException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
@@ -89,12 +91,29 @@
     }
 
     private ContentResponse send(String method, String target, Optional<byte[]> body) throws PlatformException {
+        try {
+            return sendOnce(method, target, body);
+        } catch (ExecutionException e) {
+            if (!method.equals("GET") || !isConnectionClosed(e)) {
+                throw new PlatformException(method + " " + target + ": no answer", e);
+            }
+        }
+        // The platform may close an idle connection while a request is on its way; a read may be sent again.
+        try {
+            return sendOnce(method, target, body);
+        } catch (ExecutionException e) {
+            throw new PlatformException(method + " " + target + ": no answer", e);
+        }
+    }
+
+    private ContentResponse sendOnce(String method, String target, Optional<byte[]> body)
+            throws PlatformException, ExecutionException {
         Request request = client.newRequest(address.resolve(target)).method(method);
         request.timeout(timeoutMs, TimeUnit.MILLISECONDS);
         body.ifPresent(bytes -> request.body(new BytesRequestContent(bytes)));
         try {
             return request.send();
-        } catch (ExecutionException | TimeoutException e) {
+        } catch (TimeoutException e) {
             throw new PlatformException(method + " " + target + ": no answer", e);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
@@ -102,6 +121,10 @@
         }
     }
 
+    private static boolean isConnectionClosed(ExecutionException failure) {
+        return failure.getCause() instanceof EOFException || failure.getCause() instanceof ClosedChannelException;
+    }
+
     private static ContentResponse require(ContentResponse response) throws PlatformException {
         if (response.getStatus() != OK) {
             throw new PlatformException("the platform answered " + response.getStatus());
