A planned stop answers requests on connections that wait in the accept backlog

Cause: the port was closed from the stopping thread. Connections that the kernel had established but Jetty had not accepted were reset, so that GracefulStopTest cut a request now and then beside load.

The rate of GracefulStopTest's account is set high, as callers that never wait were refused for it on a fast machine.

--- a/node/src/main/java/io/cranberryarch/node/GracefulStop.java
+++ b/node/src/main/java/io/cranberryarch/node/GracefulStop.java
@@ -47,7 +47,9 @@
     }
 
     private boolean isIdle() {
-        return parts.gate().getInProgress() == 0 && parts.faces().getInProgress() == 0;
+        return parts.gate().getInProgress() == 0
+                && parts.faces().getInProgress() == 0
+                && !parts.faces().isAwaitingRequests();
     }
 
     private long toLongestTimeoutMs() {
--- a/node/src/main/java/io/cranberryarch/node/http/HttpFaces.java
+++ b/node/src/main/java/io/cranberryarch/node/http/HttpFaces.java
@@ -25,11 +25,12 @@
     private static final String LOCAL = "local";
     private static final String ADMIN = "admin";
     private static final long RETRY_AFTER_MS = 1_000;
+
     private static final int MAX_THREADS = 32;
     private static final int MIN_THREADS = 4;
 
     private final Server server;
-    private final ServerConnector entry;
+    private final EntryConnector entry;
     private final ServerConnector local;
     private final ServerConnector admin;
     private final FaceHandler faces;
@@ -46,9 +47,12 @@
         QueuedThreadPool threads = new QueuedThreadPool(MAX_THREADS, MIN_THREADS);
         threads.setName("http");
         server = new Server(threads);
-        entry = addConnector(ENTRY, config.host(), config.entryPort());
-        local = addConnector(LOCAL, config.host(), config.localPort());
-        admin = addConnector(ADMIN, config.host(), config.adminPort());
+        entry = new EntryConnector(server, toHttp());
+        addConnector(entry, ENTRY, config.host(), config.entryPort());
+        local = new ServerConnector(server, 1, 1, toHttp());
+        addConnector(local, LOCAL, config.host(), config.localPort());
+        admin = new ServerConnector(server, 1, 1, toHttp());
+        addConnector(admin, ADMIN, config.host(), config.adminPort());
         faces = new FaceHandler(Map.of(ENTRY, entryHandler, LOCAL, localHandler, ADMIN, adminHandler));
         server.setHandler(faces);
     }
@@ -94,9 +98,22 @@
         faces.closing = true;
     }
 
-    /** Takes no new connections of callers. */
-    public void stopAccepting() {
-        entry.close();
+    /**
+     * Takes no new connections of callers, but those that are established already.
+     *
+     * @throws InterruptedException if the thread is interrupted before the port is closed
+     */
+    public void stopAccepting() throws InterruptedException {
+        entry.stopAccepting();
+    }
+
+    /**
+     * Tells whether a connection of a caller has not brought its first request yet.
+     *
+     * @return whether a request is likely on its way; false for connections that stay silent
+     */
+    public boolean isAwaitingRequests() {
+        return entry.isAwaitingRequests();
     }
 
     /** Refuses further requests of callers on open connections. */
@@ -118,15 +135,17 @@
         server.stop();
     }
 
-    private ServerConnector addConnector(String name, String host, int port) {
+    private static HttpConnectionFactory toHttp() {
         HttpConfiguration http = new HttpConfiguration();
         http.setSendServerVersion(false);
-        ServerConnector connector = new ServerConnector(server, 1, 1, new HttpConnectionFactory(http));
+        return new HttpConnectionFactory(http);
+    }
+
+    private void addConnector(ServerConnector connector, String name, String host, int port) {
         connector.setName(name);
         connector.setHost(host);
         connector.setPort(port);
         server.addConnector(connector);
-        return connector;
     }
 
     /** Passes each request to the handler of its port. */
--- a/node/src/test/java/io/cranberryarch/node/GracefulStopTest.java
+++ b/node/src/test/java/io/cranberryarch/node/GracefulStopTest.java
@@ -28,6 +28,8 @@
     @Test
     void plannedStopUnderLoadCutsNoRequest() throws Exception {
         try (FleetFixture fleet = new FleetFixture()) {
+            // Callers that do not wait between requests would be refused for their rate on a fast machine.
+            fleet.set("/teams/shop/accounts/acme/rate=100000", "/teams/shop/accounts/acme/burst=100000");
             fleet.add("history1", "zone-a", "history", 50);
             fleet.add("orders1", "zone-a", "orders", 50);
             fleet.add("orders2", "zone-a", "orders", 50);
--- /dev/null
+++ b/node/src/test/java/io/cranberryarch/node/http/HttpFacesTest.java
@@ -0,0 +1,103 @@
+package io.cranberryarch.node.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.cranberryarch.node.FleetFixture;
+import io.cranberryarch.settings.NodeConfig;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+import org.junit.jupiter.api.Test;
+
+class HttpFacesTest {
+
+    private static final int ROUNDS = 10;
+    private static final int CONNECTIONS = 40;
+    private static final byte[] REQUEST =
+            "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
+
+    /** Connections that the system has established but the server has not accepted yet bear requests too. */
+    @Test
+    void requestsOnConnectionsInTheBacklogAreAnsweredAfterTheStop() throws Exception {
+        int answered = 0;
+        for (int i = 0; i < ROUNDS; i++) {
+            answered += countAnsweredAroundStop();
+        }
+        assertEquals(ROUNDS * CONNECTIONS, answered);
+    }
+
+    private static int countAnsweredAroundStop() throws Exception {
+        List<SocketChannel> callers = new ArrayList<>();
+        try (HttpFaces faces = new HttpFaces(toConfig(), new OkHandler(), new OkHandler(), new OkHandler())) {
+            faces.start();
+            InetSocketAddress entry = new InetSocketAddress("127.0.0.1", faces.getEntryPort());
+            for (int i = 0; i < CONNECTIONS; i++) {
+                SocketChannel caller = SocketChannel.open(entry);
+                caller.write(ByteBuffer.wrap(REQUEST));
+                callers.add(caller);
+            }
+            faces.stopAccepting();
+            FleetFixture.await(() -> !faces.isAwaitingRequests() && faces.getInProgress() == 0);
+        }
+        int answered = 0;
+        for (SocketChannel caller : callers) {
+            try (caller) {
+                answered += readStatusLine(caller).startsWith("HTTP/1.1 200") ? 1 : 0;
+            }
+        }
+        return answered;
+    }
+
+    private static String readStatusLine(SocketChannel caller) {
+        ByteBuffer bytes = ByteBuffer.allocate(1_024);
+        try {
+            caller.read(bytes);
+        } catch (IOException e) {
+            return "cut: " + e.getMessage();
+        }
+        return new String(bytes.array(), 0, bytes.position(), StandardCharsets.US_ASCII);
+    }
+
+    private static NodeConfig toConfig() throws Exception {
+        return new NodeConfig(
+                "a",
+                "zone-a",
+                "orders",
+                1,
+                "127.0.0.1",
+                0,
+                0,
+                0,
+                0,
+                URI.create("http://127.0.0.1:1"),
+                1_000,
+                URI.create("http://127.0.0.1:1"),
+                "secret",
+                List.of("zone-a"),
+                List.of(),
+                Optional.empty(),
+                1_024,
+                "warn");
+    }
+
+    /** Answers every request. */
+    private static final class OkHandler extends Handler.Abstract.NonBlocking {
+
+        @Override
+        public boolean handle(Request request, Response response, Callback callback) {
+            response.setStatus(200);
+            callback.succeeded();
+            return true;
+        }
+    }
+}
