--- a/mesh/src/main/java/io/cranberryarch/mesh/Gate.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/Gate.java
@@ -61,6 +61,7 @@
     private final Set<String> echoedHeaders;
     private double durationMs = FIRST_DURATION_MS;
     private long lastRunAtMs;
+    private boolean isWatchingExpiry;
 
     Gate(EventLoop loop, HttpClientPool connections, HeaderNames names, UpstreamState upstream, EventLog log) {
         this.loop = loop;
@@ -70,7 +71,6 @@
         this.connections = connections;
         this.echoedHeaders = Set.of(names.requestId().toLowerCase(Locale.ROOT));
         this.lastRunAtMs = loop.nowMs();
-        loop.repeat(EXPIRY_CHECK_INTERVAL_MS, this::refuseExpired);
     }
 
     /**
@@ -91,6 +91,7 @@
             run.start();
         } else {
             waiting.add(run, request.rank(), run.deadlineMs - Math.round(durationMs));
+            watchExpiry();
         }
         return run::cancel;
     }
@@ -151,13 +152,20 @@
                 execution, reason, upstream.isKnown() ? getLimit() : 0, getBusy(), getFailing());
     }
 
-    private void refuseExpired() {
-        if (waiting.getSize() == 0) {
-            return;
+    /** Checks the waiting requests for as long as there are any; an idle node is not woken for it. */
+    private void watchExpiry() {
+        if (!isWatchingExpiry && waiting.getSize() > 0) {
+            isWatchingExpiry = true;
+            loop.schedule(EXPIRY_CHECK_INTERVAL_MS, this::refuseExpired);
         }
+    }
+
+    private void refuseExpired() {
+        isWatchingExpiry = false;
         for (Run run : waiting.removeExpired(loop.nowMs())) {
             run.finish(fail(Execution.NOT_RUN, "overloaded"));
         }
+        watchExpiry();
     }
 
     private void startNext() {
