--- a/app/src/main/java/io/cranberryarch/app/ArchiveTraining.java
+++ b/app/src/main/java/io/cranberryarch/app/ArchiveTraining.java
@@ -178,7 +178,7 @@
         callers.send(request, response -> true, new EndCallback(() -> {
             ended++;
             if (ended == REQUESTS) {
-                loop.close();
+                nodes.forEach(MeshNode::stop);
             }
             sendNext(callers);
         }));
@@ -255,6 +255,11 @@
             answer(callback, List.copyOf(peers));
         }
 
+        @Override
+        public void writeObject(String name, byte[] content, Callback<Void> callback) {
+            answer(callback, null);
+        }
+
         private <T> void answer(Callback<T> callback, T result) {
             loop.execute(() -> callback.onResult(result, 1));
         }
--- a/app/src/main/java/io/cranberryarch/app/Main.java
+++ b/app/src/main/java/io/cranberryarch/app/Main.java
@@ -38,6 +38,7 @@
             DrainCommand.class,
             ExplainCommand.class,
             ReportCommand.class,
+            DayReportCommand.class,
             StandinCommand.class,
             ExperimentCommand.class,
             HelpCommand.class,
--- a/node/src/main/java/io/cranberryarch/node/report/CountsNames.java
+++ b/counts/src/main/java/io/cranberryarch/counts/CountsNames.java
@@ -1,15 +1,18 @@
-package io.cranberryarch.node.report;
+package io.cranberryarch.counts;
 
 import java.time.Instant;
 import java.time.ZoneOffset;
 import java.time.format.DateTimeFormatter;
 
 /** Names of counts in the object store and in the table. */
-final class CountsNames {
+public final class CountsNames {
 
-    static final long MINUTE_MS = 60_000;
-    static final long HOUR_MS = 60 * MINUTE_MS;
-    static final int HOURS_A_DAY = 24;
+    /** A minute in milliseconds. */
+    public static final long MINUTE_MS = 60_000;
+    /** An hour in milliseconds. */
+    public static final long HOUR_MS = 60 * MINUTE_MS;
+    /** The hours of a day. */
+    public static final int HOURS_A_DAY = 24;
 
     private static final DateTimeFormatter HOUR =
             DateTimeFormatter.ofPattern("yyyy-MM-dd/HH").withZone(ZoneOffset.UTC);
@@ -21,7 +24,13 @@
                 + increment.sequence();
     }
 
-    static String ofIncrements(String hour) {
+    /**
+     * Gets what the names of the increments of an hour begin with.
+     *
+     * @param hour the hour as YYYY-MM-DD/HH
+     * @return the beginning
+     */
+    public static String ofIncrements(String hour) {
         return "counts/" + hour + "/";
     }
 
@@ -41,7 +50,14 @@
         return HOUR.format(Instant.ofEpochMilli(atMs));
     }
 
-    static String toHour(String day, int hour) {
+    /**
+     * Writes an hour of a day.
+     *
+     * @param day the day as YYYY-MM-DD
+     * @param hour from 0 to 23
+     * @return the hour as YYYY-MM-DD/HH
+     */
+    public static String toHour(String day, int hour) {
         return day + "/" + (hour < 10 ? "0" : "") + hour;
     }
 }
--- a/node/src/main/java/io/cranberryarch/node/report/CountsStore.java
+++ b/counts/src/main/java/io/cranberryarch/counts/CountsStore.java
@@ -1,4 +1,4 @@
-package io.cranberryarch.node.report;
+package io.cranberryarch.counts;
 
 import io.cranberryarch.api.CountsBody;
 import io.cranberryarch.base.Clock;
@@ -89,7 +89,7 @@
      * @return whether this call's sum is in force
      * @throws PlatformException if a store gives no answer; calling again is harmless
      */
-    boolean compact(String hour) throws PlatformException {
+    public boolean compact(String hour) throws PlatformException {
         Optional<Row> before = table.get(CountsNames.ofSumRow(hour));
         CountsSum sum = new CountsSum();
         if (before.isPresent()) {
--- a/node/src/main/java/io/cranberryarch/node/report/CountsSum.java
+++ b/counts/src/main/java/io/cranberryarch/counts/CountsSum.java
@@ -1,4 +1,4 @@
-package io.cranberryarch.node.report;
+package io.cranberryarch.counts;
 
 import io.cranberryarch.api.CountsBody;
 import io.cranberryarch.api.Outcome;
@@ -18,7 +18,7 @@
  * sum.add(increment); // changes nothing
  * </pre>
  */
-final class CountsSum {
+public final class CountsSum {
 
     private static final int MINUTES_A_DAY = 24 * 60;
 
@@ -32,7 +32,12 @@
         return state != null && state.sequences.contains(sequence);
     }
 
-    void add(Increment increment) {
+    /**
+     * Adds an increment, unless it is in the sum.
+     *
+     * @param increment the increment
+     */
+    public void add(Increment increment) {
         SourceKey key = new SourceKey(increment.instance(), increment.incarnation());
         SourceState state = sources.computeIfAbsent(key, unused -> new SourceState(increment.zone()));
         if (!state.sequences.add(increment.sequence())) {
@@ -44,8 +49,12 @@
         }
     }
 
-    /** Adds a sum of increments of which none is in this one. */
-    void add(CountsBody other) {
+    /**
+     * Adds a sum of increments of which none is in this one.
+     *
+     * @param other the sum
+     */
+    public void add(CountsBody other) {
         for (CountsBody.Row row : other.totals()) {
             totals.merge(new RowKey(row.account(), row.kind(), row.zone(), row.outcome()), row.count(), Long::sum);
         }
@@ -63,7 +72,12 @@
         }
     }
 
-    CountsBody toBody() {
+    /**
+     * Gets the sums.
+     *
+     * @return the sums as they are now
+     */
+    public CountsBody toBody() {
         List<CountsBody.Row> rows = new ArrayList<>();
         totals.forEach(
                 (key, count) -> rows.add(new CountsBody.Row(key.account, key.kind, key.zone, key.outcome, count)));
--- a/node/src/main/java/io/cranberryarch/node/report/IncrementQueue.java
+++ b/counts/src/main/java/io/cranberryarch/counts/IncrementQueue.java
@@ -1,15 +1,12 @@
-package io.cranberryarch.node.report;
+package io.cranberryarch.counts;
 
-import io.cranberryarch.node.NodeIdentity;
-import io.cranberryarch.store.ObjectStore;
-import io.cranberryarch.store.PlatformException;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
-import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 /**
  * The increments of this process that the store has not taken for good yet.
@@ -19,25 +16,38 @@
  * of increments kept is bounded: those never written are joined within their hour, and the oldest are dropped and said
  * so. Not thread-safe.
  */
-final class IncrementQueue {
+public final class IncrementQueue {
 
-    static final long SPAN_MS = 300_000;
-    static final int MAX_WAITING = 48;
+    /** The time that one increment covers, in milliseconds. */
+    public static final long SPAN_MS = 300_000;
+    /** The most increments that are kept. */
+    public static final int MAX_WAITING = 48;
 
     private static final long UNNUMBERED = -1;
 
-    private final NodeIdentity identity;
+    private final CountsSource source;
     private final Deque<Entry> entries = new ArrayDeque<>();
     private long nextSequence;
     private long lost;
 
-    IncrementQueue(NodeIdentity identity) {
-        this.identity = identity;
+    /**
+     * Creates a queue.
+     *
+     * @param source the process that counts
+     */
+    public IncrementQueue(CountsSource source) {
+        this.source = source;
     }
 
-    void add(Map<CountsShard.Series, Long> counts, long nowMs) {
+    /**
+     * Adds what was counted. Not called while a write is under way.
+     *
+     * @param counts requests by series
+     * @param nowMs the time of day in milliseconds since 1970
+     */
+    public void add(Map<Series, Long> counts, long nowMs) {
         counts.keySet().stream()
-                .mapToLong(CountsShard.Series::minute)
+                .mapToLong(Series::minute)
                 .map(minute -> minute * CountsNames.MINUTE_MS / SPAN_MS)
                 .distinct()
                 .sorted()
@@ -49,59 +59,69 @@
     }
 
     /**
-     * Writes what the store has not acknowledged yet, oldest first; stops at the first failure.
+     * Gets the next write: the oldest increment that the store has not acknowledged as it is.
      *
-     * @param store the store
-     * @param maxWrites the greatest number of writes
-     * @return whether the store has everything
+     * @return the write, or empty if the store has everything
      */
-    boolean write(ObjectStore store, int maxWrites) throws PlatformException {
-        int writes = 0;
-        Iterator<Entry> iterator = entries.iterator();
-        while (iterator.hasNext()) {
-            Entry entry = iterator.next();
+    public Optional<Write> next() {
+        entries.removeIf(entry -> entry.isClosed && !entry.isChanged);
+        for (Entry entry : entries) {
             if (entry.isChanged) {
-                if (writes == maxWrites) {
-                    return false;
-                }
-                write(entry, store);
-                writes++;
-            }
-            if (entry.isClosed) {
-                iterator.remove();
+                return Optional.of(toWrite(entry));
             }
         }
-        return true;
+        return Optional.empty();
     }
 
-    void finish(long nowMs) {
+    /**
+     * Notes the outcome of a write, before anything else is added.
+     *
+     * @param write the write that {@link #next} returned
+     * @param isAcknowledged whether the store has acknowledged it; otherwise it may still take effect
+     */
+    public void onWritten(Write write, boolean isAcknowledged) {
+        Optional<Entry> written = entries.stream()
+                .filter(entry -> entry.sequence == write.sequence())
+                .findFirst();
+        if (isAcknowledged) {
+            written.ifPresent(entry -> entry.isChanged = false);
+        } else {
+            written.ifPresent(Entry::close);
+        }
+    }
+
+    /**
+     * Adds a last increment that says that nothing will follow.
+     *
+     * @param nowMs the time of day in milliseconds since 1970
+     */
+    public void finish(long nowMs) {
         Entry entry = open(nowMs / SPAN_MS, nowMs);
         entry.untilMs = nowMs;
         entry.isLast = true;
         entry.close();
     }
 
-    int size() {
+    /**
+     * Counts the increments that are kept.
+     *
+     * @return the number of increments, at most {@link #MAX_WAITING}
+     */
+    public int size() {
         return entries.size();
     }
 
-    private void write(Entry entry, ObjectStore store) throws PlatformException {
+    private Write toWrite(Entry entry) {
         if (entry.sequence == UNNUMBERED) {
             entry.sequence = nextSequence++;
             entry.lost = lost;
             lost = 0;
         }
         Increment increment = entry.toIncrement();
-        try {
-            store.put(CountsNames.ofIncrement(increment), increment.toBytes());
-            entry.isChanged = false;
-        } catch (PlatformException e) {
-            entry.close();
-            throw e;
-        }
+        return new Write(entry.sequence, CountsNames.ofIncrement(increment), increment.toBytes());
     }
 
-    private void addSpan(long span, Map<CountsShard.Series, Long> counts, long nowMs) {
+    private void addSpan(long span, Map<Series, Long> counts, long nowMs) {
         Entry entry = open(span, nowMs);
         counts.forEach((series, count) -> {
             if (series.minute() * CountsNames.MINUTE_MS / SPAN_MS == span) {
@@ -146,11 +166,21 @@
         }
     }
 
+    /**
+     * An increment to be written.
+     *
+     * @param sequence its number
+     * @param name the name of the object
+     * @param content the content of the object
+     */
+    @SuppressWarnings("ArrayRecordComponent")
+    public record Write(long sequence, String name, byte[] content) {}
+
     /** An increment that may still change. */
     private final class Entry {
 
         private final long startMs;
-        private final Map<CountsShard.Series, Long> counts = new HashMap<>();
+        private final Map<Series, Long> counts = new HashMap<>();
         private long sequence = UNNUMBERED;
         private long untilMs;
         private long lost;
@@ -170,7 +200,7 @@
             close();
         }
 
-        void add(CountsShard.Series series, long count) {
+        void add(Series series, long count) {
             counts.merge(series, count, Long::sum);
             isChanged = true;
         }
@@ -189,10 +219,10 @@
             counts.forEach((series, count) -> rows.add(
                     new Increment.Row(series.minute(), series.account(), series.kind(), series.outcome(), count)));
             return new Increment(
-                    identity.instance(),
-                    identity.incarnation(),
+                    source.instance(),
+                    source.incarnation(),
                     sequence,
-                    identity.zone(),
+                    source.zone(),
                     startMs,
                     untilMs,
                     isClosed,
--- a/mesh/src/main/java/io/cranberryarch/mesh/EntryService.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/EntryService.java
@@ -46,6 +46,7 @@
     private final EntryAdmission admission;
     private final RouteCosts costs;
     private final MeshMetrics metrics;
+    private final CountsService counts;
     private final EventLog log;
     private final Set<String> droppedHeaders;
     private final ServiceSplit split = new ServiceSplit();
@@ -62,6 +63,7 @@
             EntryAdmission admission,
             RouteCosts costs,
             MeshMetrics metrics,
+            CountsService counts,
             EventLog log) {
         this.loop = loop;
         this.settings = settings;
@@ -73,6 +75,7 @@
         this.admission = admission;
         this.costs = costs;
         this.metrics = metrics;
+        this.counts = counts;
         this.log = log;
         this.droppedHeaders = toLowerCase(
                 "Authorization",
@@ -296,6 +299,10 @@
             long tookMs = loop.nowMs() - startMs;
             String routeName = route.map(ServingRoute::name).orElse("none");
             metrics.record(routeName, outcome, status, tookMs);
+            if (parent.isEmpty()) {
+                String accountName = account.map(AccountRule::name).orElse("");
+                counts.record(accountName, routeName, CountsService.toOutcome(status, outcome));
+            }
             boolean isOrdinary = outcome.equals("answered") && status < 500;
             if (!isOrdinary && log.tryRequest(loop.nowMs())) {
                 log.state("event=request-ended request=" + requestId + " route=" + routeName + " service=" + service
--- a/mesh/src/main/java/io/cranberryarch/mesh/MeshNode.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/MeshNode.java
@@ -3,6 +3,7 @@
 import io.cranberryarch.base.Closer;
 import io.cranberryarch.context.HeaderField;
 import io.cranberryarch.context.PeerInfo;
+import io.cranberryarch.counts.CountsSource;
 import io.cranberryarch.decision.serving.RouteCosts;
 import io.cranberryarch.decision.serving.WorkDemand;
 import io.cranberryarch.net.EventLoop;
@@ -39,6 +40,10 @@
     private static final long STOP_MARGIN_MS = 500;
 
     private static final long STOP_CHECK_INTERVAL_MS = 50;
+
+    /** How long a stop waits for the store to take the last counts; their loss is shown in the report. */
+    private static final long STOP_COUNTS_MS = 500;
+
     private static final long REPORT_CHECK_INTERVAL_MS = 250;
 
     /** The largest body of an upstream's response. */
@@ -64,6 +69,7 @@
     private final MeshMetrics metrics = new MeshMetrics();
     private final QuotaService quotas;
     private final Forwarder forwarder;
+    private final CountsService counts;
     private MeshSettings settings;
     private HttpServer entryServer;
     private HttpServer readyServer;
@@ -102,7 +108,8 @@
         peers = new PeerDirectory(loop, self, gate, upstream);
         quotas = new QuotaService(loop, peers, settings);
         WorkDemand workDemand = new WorkDemand();
-        long incarnation = System.currentTimeMillis();
+        long incarnation = loop.wallMs();
+        counts = new CountsService(loop, store, new CountsSource(settings.node(), incarnation, settings.zone()), log);
         peerService = new PeerService(
                 loop,
                 self,
@@ -119,7 +126,18 @@
         RouteCosts costs = new RouteCosts();
         ServiceLoads loads = new ServiceLoads(loop, peers, costs, workDemand);
         entry = new EntryService(
-                loop, settings, names, rules, gate, forwarder, quotas, new EntryAdmission(loads), costs, metrics, log);
+                loop,
+                settings,
+                names,
+                rules,
+                gate,
+                forwarder,
+                quotas,
+                new EntryAdmission(loads),
+                costs,
+                metrics,
+                counts,
+                log);
         rules.addListener(() -> rules.getRules().ifPresent(quotas::onRules));
         rules.addListener(peerService::broadcastStatus);
         rules.addListener(this::probeUpstream);
@@ -138,6 +156,7 @@
         metrics.gauge("gate_busy", gate::getBusy);
         metrics.gauge("gate_waiting", gate::getWaiting);
         metrics.gauge("gate_limit", gate::getLimit);
+        metrics.gauge("counts_increments_waiting", counts::countWaiting);
         metrics.gauge("log_lines_left_out", log::countLeftOut);
     }
 
@@ -162,6 +181,7 @@
         readyServer = bind(settings.ready(), this::onReadyQuestion);
         metricsServer = bind(settings.metrics(), this::onMetrics);
         rules.start();
+        counts.start();
         register();
         log.state("event=node-started node=" + settings.node() + " zone=" + settings.zone() + " service="
                 + settings.service() + " entry=" + IniFile.toText(entryServer.getAddress()));
@@ -281,13 +301,26 @@
                 && entry.countInProgress() == 0
                 && gate.getBusy() == 0;
         if (isIdle || stoppingMs > settings.stopGraceMs() - STOP_MARGIN_MS) {
-            log.state("event=node-stopped in-progress=" + entry.countInProgress() + " took-ms=" + stoppingMs);
-            loop.close();
+            counts.finish();
+            awaitCounts(startMs, loop.nowMs());
             return;
         }
         loop.schedule(STOP_CHECK_INTERVAL_MS, () -> checkStopped(startMs));
     }
 
+    private void awaitCounts(long startMs, long finishedAtMs) {
+        long stoppingMs = loop.nowMs() - startMs;
+        boolean isTimeLeft = loop.nowMs() - finishedAtMs < STOP_COUNTS_MS
+                && stoppingMs < settings.stopGraceMs() - STOP_CHECK_INTERVAL_MS;
+        if (isTimeLeft && !counts.isFinished()) {
+            loop.schedule(STOP_CHECK_INTERVAL_MS, () -> awaitCounts(startMs, finishedAtMs));
+            return;
+        }
+        log.state("event=node-stopped in-progress=" + entry.countInProgress() + " counts-written=" + counts.isFinished()
+                + " took-ms=" + stoppingMs);
+        loop.close();
+    }
+
     private void register() {
         store.register(
                 peerService.getSelf(),
--- a/mesh/src/main/java/io/cranberryarch/mesh/SharedStore.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/SharedStore.java
@@ -50,6 +50,15 @@
      */
     void readPeers(Callback<List<PeerInfo>> callback);
 
+    /**
+     * Writes an object, replacing an earlier one of the same name.
+     *
+     * @param name the name
+     * @param content the content
+     * @param callback learns the outcome
+     */
+    void writeObject(String name, byte[] content, Callback<Void> callback);
+
     /**
      * Takes the outcome of a call.
      *
--- a/mesh/src/test/java/io/cranberryarch/mesh/FakeStore.java
+++ b/mesh/src/test/java/io/cranberryarch/mesh/FakeStore.java
@@ -12,6 +12,7 @@
 final class FakeStore {
 
     private final Map<String, PeerInfo> peers = new LinkedHashMap<>();
+    private final Map<String, byte[]> objects = new LinkedHashMap<>();
     private final List<Runnable> waiting = new ArrayList<>();
     private byte[] document;
     private long revision = 1;
@@ -24,6 +25,10 @@
         woken.forEach(Runnable::run);
     }
 
+    synchronized Map<String, byte[]> getObjects() {
+        return new LinkedHashMap<>(objects);
+    }
+
     View connect(Executor loop) {
         return new View(loop);
     }
@@ -85,6 +90,16 @@
             }
         }
 
+        @Override
+        public void writeObject(String name, byte[] content, Callback<Void> callback) {
+            synchronized (FakeStore.this) {
+                if (!isAway) {
+                    objects.put(name, content);
+                }
+                answer(callback, null);
+            }
+        }
+
         private <T> void answer(Callback<T> callback, T result) {
             long shown = revision;
             if (isAway) {
--- a/mesh/src/test/java/io/cranberryarch/mesh/TestFleet.java
+++ b/mesh/src/test/java/io/cranberryarch/mesh/TestFleet.java
@@ -19,6 +19,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
@@ -93,6 +94,11 @@
         }
     }
 
+    /** Gets what the nodes wrote to the object store. */
+    Map<String, byte[]> getObjects() {
+        return store.getObjects();
+    }
+
     /** Gets the lines that all nodes have logged so far. */
     List<String> getLines() {
         return lines;
--- a/net/src/main/java/io/cranberryarch/net/EventLoop.java
+++ b/net/src/main/java/io/cranberryarch/net/EventLoop.java
@@ -59,6 +59,15 @@
         return clock.monotonicMs();
     }
 
+    /**
+     * Gets the time of day.
+     *
+     * @return milliseconds since 1970, see {@link Clock#wallMs()}
+     */
+    public long wallMs() {
+        return clock.wallMs();
+    }
+
     /**
      * Runs a task on the loop's thread, from any thread.
      *
--- a/node/src/main/java/io/cranberryarch/node/report/CountsReporter.java
+++ b/node/src/main/java/io/cranberryarch/node/report/CountsReporter.java
@@ -2,11 +2,17 @@
 
 import io.cranberryarch.api.Outcome;
 import io.cranberryarch.base.Clock;
+import io.cranberryarch.counts.CountsNames;
+import io.cranberryarch.counts.CountsSource;
+import io.cranberryarch.counts.CountsStore;
+import io.cranberryarch.counts.IncrementQueue;
+import io.cranberryarch.counts.Series;
 import io.cranberryarch.node.NodeIdentity;
 import io.cranberryarch.store.ObjectStore;
 import io.cranberryarch.store.PlatformException;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -45,7 +51,7 @@
         this.store = store;
         this.counts = counts;
         this.clock = clock;
-        this.queue = new IncrementQueue(identity);
+        this.queue = new IncrementQueue(new CountsSource(identity.instance(), identity.incarnation(), identity.zone()));
         for (int i = 0; i < SHARDS; i++) {
             shards[i] = new CountsShard();
         }
@@ -74,7 +80,7 @@
     public void record(String account, String kind, Outcome outcome) {
         long minute = clock.wallMs() / CountsNames.MINUTE_MS;
         int shard = (int) (Thread.currentThread().getId() % SHARDS);
-        shards[shard].add(new CountsShard.Series(minute, account, kind, outcome));
+        shards[shard].add(new Series(minute, account, kind, outcome));
     }
 
     /**
@@ -119,7 +125,7 @@
     }
 
     private void collect() {
-        Map<CountsShard.Series, Long> drained = new HashMap<>();
+        Map<Series, Long> drained = new HashMap<>();
         for (CountsShard shard : shards) {
             shard.drain().forEach((series, count) -> drained.merge(series, count, Long::sum));
         }
@@ -128,7 +134,7 @@
 
     private boolean write(int maxWrites) {
         try {
-            boolean isWritten = queue.write(store, maxWrites);
+            boolean isWritten = writeNext(maxWrites);
             if (isFailing) {
                 Logger.info("counts-delivered");
             }
@@ -143,6 +149,23 @@
         }
     }
 
+    /** Writes increments, oldest first, and tells whether the store has everything. */
+    private boolean writeNext(int maxWrites) throws PlatformException {
+        Optional<IncrementQueue.Write> next = queue.next();
+        for (int i = 0; i < maxWrites && next.isPresent(); i++) {
+            IncrementQueue.Write write = next.get();
+            boolean isAcknowledged = false;
+            try {
+                store.put(write.name(), write.content());
+                isAcknowledged = true;
+            } finally {
+                queue.onWritten(write, isAcknowledged);
+            }
+            next = queue.next();
+        }
+        return next.isEmpty();
+    }
+
     private void compact() {
         try {
             counts.compactRecent();
--- a/node/src/main/java/io/cranberryarch/node/report/CountsShard.java
+++ b/node/src/main/java/io/cranberryarch/node/report/CountsShard.java
@@ -1,6 +1,6 @@
 package io.cranberryarch.node.report;
 
-import io.cranberryarch.api.Outcome;
+import io.cranberryarch.counts.Series;
 import java.util.HashMap;
 import java.util.Map;
 
@@ -15,7 +15,7 @@
     synchronized void add(Series series) {
         Series key = series;
         if (counts.size() >= MAX_SERIES && !counts.containsKey(series)) {
-            key = new Series(series.minute, OTHER, OTHER, series.outcome);
+            key = new Series(series.minute(), OTHER, OTHER, series.outcome());
         }
         counts.merge(key, 1L, Long::sum);
     }
@@ -25,7 +25,4 @@
         counts = new HashMap<>();
         return drained;
     }
-
-    /** What is counted separately; the minute is that of the wall clock since 1970. */
-    record Series(long minute, String account, String kind, Outcome outcome) {}
 }
--- a/operator/src/main/java/io/cranberryarch/operator/ApiFailure.java
+++ b/operator/src/main/java/io/cranberryarch/operator/ApiFailure.java
@@ -2,7 +2,7 @@
 
 import java.util.List;
 
-/** Thrown when a node refuses a request of an operator, or cannot be reached. */
+/** Thrown when a request of an operator is refused, or what it asks cannot be reached. */
 public final class ApiFailure extends Exception {
 
     private static final long serialVersionUID = 1L;
@@ -10,7 +10,14 @@
     private final int exitCode;
     private final List<String> details;
 
-    ApiFailure(int exitCode, String reason, List<String> details) {
+    /**
+     * Creates a failure.
+     *
+     * @param exitCode the exit code for the command line
+     * @param reason a short word for what failed
+     * @param details one sentence for each fault
+     */
+    public ApiFailure(int exitCode, String reason, List<String> details) {
         super(reason);
         this.exitCode = exitCode;
         this.details = List.copyOf(details);
