Rates while nodes are cut off: each group of connected nodes follows a bucket of its own

A node that did not reach all others borrowed nothing, and with 86 nodes its own bucket is less than one token deep, so that one lost connection anywhere stopped the whole account. A cut, a kill or a restart did it.

Now the connected nodes follow a bucket for their part of all nodes, and shares are of that part, so that the parts and the shares of both sides add up to one whatever either side asks for. Before, a share was of the demand last heard of, and two sides of a cut could together take more than the rate. What was admitted behind a cut is not charged again when it ends.

The model of nodes no longer knows what is said behind a cut.

--- a/decision/src/main/java/io/cranberryarch/decision/serving/AccountQuota.java
+++ b/decision/src/main/java/io/cranberryarch/decision/serving/AccountQuota.java
@@ -10,7 +10,11 @@
  * to one. Since callers are few and come unevenly, one node's bucket overflows while another's is empty. The node
  * therefore also follows a bucket of the whole fleet, from what all nodes say they admitted, and borrows what is in it
  * beyond the tokens that the nodes hold in their own buckets. A request may be paid in part from each. What is borrowed
- * at several nodes at once, before they have told each other, is covered by the tolerated excess. Not thread-safe.
+ * at several nodes at once, before they have told each other, is covered by the tolerated excess.
+ *
+ * <p>Nodes that do not reach each other count with buckets of their own: each group of connected nodes follows one for
+ * its part of all nodes. The parts of all groups add up to one, whatever the groups know of each other. Not
+ * thread-safe.
  */
 public final class AccountQuota {
 
@@ -49,6 +53,9 @@
     private double borrowable;
     private double borrowed;
     private double fleetTokens;
+    private double connectedPart = 1;
+    private double tokensAtReport;
+    private long reportedAtMs;
     private double heldSum;
     private long heldAtSumMs;
     private int otherNodes;
@@ -66,6 +73,7 @@
      */
     public AccountQuota(long startedAtMs) {
         this.filledAtMs = startedAtMs;
+        this.reportedAtMs = startedAtMs;
     }
 
     /**
@@ -121,7 +129,7 @@
     }
 
     /**
-     * Forgets what another node holds, since it has ended.
+     * Forgets what another node holds, since it has ended or cannot be reached.
      *
      * @param node the name of the other node
      */
@@ -138,20 +146,21 @@
      *
      * @param limit the limit of the account
      * @param share the node's share of it
-     * @param nodes the number of nodes, this one included
-     * @param isComplete whether all of them are connected
+     * @param connected the number of nodes that are connected, this one included
+     * @param nodes the number of all nodes
      * @param nowMs the time in milliseconds
      */
-    public void onReported(Limit limit, double share, int nodes, boolean isComplete, long nowMs) {
-        otherNodes = Math.max(0, nodes - 1);
+    public void onReported(Limit limit, double share, int connected, int nodes, long nowMs) {
         fill(limit, share, nowMs);
+        otherNodes = Math.max(0, connected - 1);
+        setConnectedPart(limit, Math.min(1, (double) connected / Math.max(1, nodes)), nowMs);
         borrowed = 0;
         if (hasNews(nowMs)) {
             reportedPerS = getDemandPerS(nowMs);
             reportedAdmitted = admitted;
         }
         double unused = Math.max(0, toUnused(limit, share, nowMs));
-        borrowable = isComplete ? Math.max(share * unused, Math.min(unused / 2, LEAST_BORROWED)) : 0;
+        borrowable = Math.max(share * unused, Math.min(unused / 2, LEAST_BORROWED));
     }
 
     /**
@@ -235,18 +244,33 @@
     }
 
     /**
-     * Computes the share of a node from what it and the others ask for. The shares of all nodes that know the same
-     * demand add up to one.
+     * Computes the share of a node from what it and the others ask for. The shares of connected nodes add up to their
+     * part of all nodes, so that the shares of all groups of connected nodes add up to one.
      *
      * @param ownPerS the demand of this node as it last reported it
-     * @param totalPerS the demand of all nodes, this one included
-     * @param nodes the number of nodes
+     * @param connectedPerS the demand of the connected nodes, this one included
+     * @param connected the number of connected nodes, this one included
+     * @param nodes the number of all nodes
      * @param ratePerS the rate of the account
      * @return a share from 0 to 1
      */
-    public static double toShare(double ownPerS, double totalPerS, int nodes, double ratePerS) {
+    public static double toShare(double ownPerS, double connectedPerS, int connected, int nodes, double ratePerS) {
         double even = EVEN_PART * ratePerS;
-        return (ownPerS + even / Math.max(1, nodes)) / Math.max(0.001, totalPerS + even);
+        double share = (ownPerS + even / Math.max(1, connected)) / Math.max(0.001, connectedPerS + even);
+        return share * Math.min(1, (double) connected / Math.max(1, nodes));
+    }
+
+    /** Leaves the part of the fleet's bucket behind that belongs to nodes which are not connected any more. */
+    private void setConnectedPart(Limit limit, double part, long nowMs) {
+        if (part < connectedPart) {
+            double sinceReportS = (nowMs - reportedAtMs) / MS_PER_S;
+            double before = Math.max(0, tokensAtReport) / connectedPart + limit.ratePerS() * sinceReportS;
+            fleetTokens -= (connectedPart - part) * before;
+        }
+        connectedPart = part;
+        fleetTokens = Math.min(fleetTokens, part * limit.burst());
+        tokensAtReport = fleetTokens;
+        reportedAtMs = nowMs;
     }
 
     /** Gets the attempts a second that are considered: more than the share if others leave much of the rate. */
@@ -257,16 +281,15 @@
 
     /** Gets the tokens of the fleet's bucket that no node holds in its own. */
     private double toUnused(Limit limit, double share, long nowMs) {
-        double mostElsewhere = (1 - share) * limit.burst();
+        double partElsewhere = Math.max(0, connectedPart - share);
+        double mostElsewhere = partElsewhere * limit.burst();
         int silent = Math.max(0, otherNodes - heldByOthers.size());
         double heldElsewhere = heldSum + mostElsewhere * silent / Math.max(1, otherNodes);
         // Since its report, each of the others has taken in its part of the rate.
         double sinceReportsS = (heldByOthers.size() * nowMs - heldAtSumMs) / MS_PER_S / Math.max(1, otherNodes);
-        heldElsewhere += (1 - share) * limit.ratePerS() * sinceReportsS;
-        return fleetTokens
-                - Math.min(mostElsewhere, Math.max(0, heldElsewhere))
-                - tokens
-                + BORROWED_SLACK * limit.slack();
+        heldElsewhere += partElsewhere * limit.ratePerS() * sinceReportsS;
+        double excess = connectedPart * BORROWED_SLACK * limit.slack();
+        return fleetTokens - Math.min(mostElsewhere, Math.max(0, heldElsewhere)) - tokens + excess;
     }
 
     private void fill(Limit limit, double share, long nowMs) {
@@ -277,7 +300,8 @@
         tokens = Math.max(tokens, Math.min(depth, tokens + share * limit.ratePerS() * elapsedS));
         double taken = toAttemptsPerS(limit, share, nowMs) * elapsedS;
         attempts = Math.max(attempts, Math.min(attemptsDepth, attempts + taken));
-        fleetTokens = Math.min(limit.burst(), fleetTokens + limit.ratePerS() * elapsedS);
+        double fleetFill = connectedPart * limit.ratePerS() * elapsedS;
+        fleetTokens = Math.max(fleetTokens, Math.min(connectedPart * limit.burst(), fleetTokens + fleetFill));
     }
 
     /**
--- a/decision/src/test/java/io/cranberryarch/decision/serving/AccountQuotaTest.java
+++ b/decision/src/test/java/io/cranberryarch/decision/serving/AccountQuotaTest.java
@@ -18,6 +18,9 @@
     /** The part of the requests that may be refused beyond what one bucket that sees all of them refuses. */
     private static final double ALLOWED_LOSS = 0.02;
 
+    /** The part of the requests of an account at half of its rate that may be refused while the nodes are cut. */
+    private static final double ALLOWED_CUT_LOSS = 0.1;
+
     private static AccountQuota.Limit toLimit(double ratePerS) {
         double slack = 0.1 * (ratePerS * WINDOW_MS / 1_000 + ratePerS) + 20;
         return new AccountQuota.Limit(ratePerS, ratePerS, slack);
@@ -61,6 +64,44 @@
                 fleet.toBusiestWindow(WINDOW_MS) + " admitted, " + allowed + " allowed");
     }
 
+    @Property(tries = 60, seed = "15")
+    void hotAccountStaysWithinItsLimitWhileTheNodesAreCutInTwo(
+            @ForAll @IntRange(min = 2, max = 100) int nodes,
+            @ForAll @DoubleRange(min = 10, max = 400) double ratePerS,
+            @ForAll @DoubleRange(min = 0.1, max = 0.9) double cutPart,
+            @ForAll @DoubleRange(min = 0.2, max = 0.7) double usualPart,
+            @ForAll @DoubleRange(min = 0, max = 8) double hotPart,
+            @ForAll long seed) {
+        AccountQuota.Limit limit = toLimit(ratePerS);
+        QuotaFleet fleet = new QuotaFleet(limit, nodes, STATUS_INTERVAL_MS, seed);
+        fleet.run(usualPart * ratePerS, 8_000);
+        fleet.cut(cutPart);
+        fleet.run(hotPart * ratePerS, 6_000);
+        fleet.heal();
+        fleet.run(hotPart * ratePerS, 4_000);
+        double allowed = ratePerS * WINDOW_MS / 1_000 + limit.burst() + limit.slack();
+        assertTrue(
+                fleet.toBusiestWindow(WINDOW_MS) <= allowed,
+                fleet.toBusiestWindow(WINDOW_MS) + " admitted, " + allowed + " allowed");
+    }
+
+    /** An availability zone is cut off, or a node has just been killed, in a fleet with many nodes and accounts. */
+    @Property(tries = 30, seed = "16")
+    void callersWithinTheRateAreServedOnBothSidesOfACut(
+            @ForAll @IntRange(min = 60, max = 100) int nodes,
+            @ForAll @DoubleRange(min = 40, max = 200) double ratePerS,
+            @ForAll @DoubleRange(min = 0.01, max = 0.3) double cutPart,
+            @ForAll long seed) {
+        QuotaFleet fleet = new QuotaFleet(toLimit(ratePerS), nodes, STATUS_INTERVAL_MS, seed);
+        fleet.run(0.5 * ratePerS, 10_000);
+        long before = fleet.countRefused();
+        long askedBefore = fleet.countAsked();
+        fleet.cut(cutPart);
+        fleet.run(0.5 * ratePerS, 20_000);
+        double refused = (double) (fleet.countRefused() - before) / (fleet.countAsked() - askedBefore);
+        assertTrue(refused <= ALLOWED_CUT_LOSS, refused + " refused");
+    }
+
     @Property(tries = 30, seed = "12")
     void unevenCallersOfManyNodesAreServedWithinTheRate(
             @ForAll @IntRange(min = 10, max = 30) int nodes,
@@ -144,22 +185,22 @@
     void nodeReportsAtOnceWhenItBorrowedAndNotWhenItSpentItsOwn() {
         AccountQuota quota = new AccountQuota(0);
         AccountQuota.Limit limit = new AccountQuota.Limit(10, 10, 30);
-        quota.onReported(limit, 0.5, 2, true, 10_000);
+        quota.onReported(limit, 0.5, 2, 2, 10_000);
         for (int i = 0; i < 5; i++) {
             assertTrue(quota.tryTake(limit, 0.5, 10_000));
         }
         assertFalse(quota.isReportDue());
         assertTrue(quota.tryTake(limit, 0.5, 10_000));
         assertTrue(quota.isReportDue());
-        quota.onReported(limit, 0.5, 2, true, 10_000);
+        quota.onReported(limit, 0.5, 2, 2, 10_000);
         assertFalse(quota.isReportDue());
     }
 
     @Test
     void nodeThatDoesNotReachAllOthersSpendsOnlyItsShare() {
         AccountQuota quota = new AccountQuota(0);
-        AccountQuota.Limit limit = new AccountQuota.Limit(10, 10, 30);
-        quota.onReported(limit, 0.5, 2, false, 10_000);
+        AccountQuota.Limit limit = new AccountQuota.Limit(10, 10, 0);
+        quota.onReported(limit, 0.5, 1, 2, 10_000);
         int admitted = 0;
         while (quota.tryTake(limit, 0.5, 10_000)) {
             admitted++;
@@ -178,7 +219,7 @@
     private static int countTaken(AccountQuota.Limit limit, double heldByOther) {
         AccountQuota quota = new AccountQuota(0);
         quota.onOtherReported(limit, 0.5, "other", 0, heldByOther, 10_000);
-        quota.onReported(limit, 0.5, 2, true, 10_000);
+        quota.onReported(limit, 0.5, 2, 2, 10_000);
         int admitted = 0;
         while (quota.tryTake(limit, 0.5, 10_000)) {
             admitted++;
@@ -188,10 +229,13 @@
 
     @Test
     void sharesAddUpToOneAndIdleNodesKeepAPart() {
-        double busy = AccountQuota.toShare(30, 40, 3, 100);
-        double calm = AccountQuota.toShare(10, 40, 3, 100);
-        double idle = AccountQuota.toShare(0, 40, 3, 100);
+        double busy = AccountQuota.toShare(30, 40, 3, 3, 100);
+        double calm = AccountQuota.toShare(10, 40, 3, 3, 100);
+        double idle = AccountQuota.toShare(0, 40, 3, 3, 100);
         assertEquals(1, busy + calm + idle, 1e-9);
         assertTrue(idle > 0.05 && calm > idle && busy > calm, idle + " " + calm + " " + busy);
+        double cutOff = AccountQuota.toShare(500, 500, 1, 3, 100);
+        double others = AccountQuota.toShare(10, 10, 2, 3, 100) + AccountQuota.toShare(0, 10, 2, 3, 100);
+        assertEquals(1, cutOff + others, 1e-9, "of the sides of a cut, whatever is asked for there");
     }
 }
--- a/decision/src/test/java/io/cranberryarch/decision/serving/QuotaFleet.java
+++ b/decision/src/test/java/io/cranberryarch/decision/serving/QuotaFleet.java
@@ -1,6 +1,7 @@
 package io.cranberryarch.decision.serving;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Random;
 
@@ -22,6 +23,8 @@
     private final long[] toldAdmitted;
     private final long[] toldAtMs;
     private final List<Long> admittedAtMs = new ArrayList<>();
+    private final boolean[] isCutOff;
+    private final boolean[][] isReconnecting;
     private long nowMs = 1_000;
     private long asked;
     private double centralTokens;
@@ -37,6 +40,8 @@
         this.toldDemand = new double[count];
         this.toldAdmitted = new long[count];
         this.toldAtMs = new long[count];
+        this.isCutOff = new boolean[count];
+        this.isReconnecting = new boolean[count][count];
         double sum = 0;
         for (int i = 0; i < count; i++) {
             nodes[i] = new AccountQuota(nowMs);
@@ -77,6 +82,38 @@
         }
     }
 
+    /** Cuts a part of the nodes off from the others. */
+    void cut(double part) {
+        for (int i = 0; i < part * nodes.length; i++) {
+            isCutOff[i] = true;
+        }
+        for (int i = 0; i < nodes.length; i++) {
+            for (int j = 0; j < nodes.length; j++) {
+                if (isCutOff[i] != isCutOff[j]) {
+                    nodes[i].forget("node-" + j);
+                }
+            }
+        }
+    }
+
+    /** Ends the cut. */
+    void heal() {
+        for (int i = 0; i < nodes.length; i++) {
+            for (int j = 0; j < nodes.length; j++) {
+                isReconnecting[i][j] = isCutOff[i] != isCutOff[j];
+            }
+        }
+        Arrays.fill(isCutOff, false);
+    }
+
+    long countAsked() {
+        return asked;
+    }
+
+    long countRefused() {
+        return asked - admittedAtMs.size();
+    }
+
     double toRefusedShare() {
         return 1 - (double) admittedAtMs.size() / asked;
     }
@@ -120,9 +157,10 @@
         double own = nodes[node].getReportedPerS();
         double total = own;
         for (int i = 0; i < nodes.length; i++) {
-            total += i == node ? 0 : toldDemand[i];
+            boolean isConnected = isCutOff[i] == isCutOff[node];
+            total += i == node || !isConnected ? 0 : toldDemand[i];
         }
-        return AccountQuota.toShare(own, total, nodes.length, limit.ratePerS());
+        return AccountQuota.toShare(own, total, countConnected(node), nodes.length, limit.ratePerS());
     }
 
     private void tell(int teller) {
@@ -130,15 +168,26 @@
         long news = nodes[teller].getAdmitted() - toldAdmitted[teller];
         toldAdmitted[teller] = nodes[teller].getAdmitted();
         toldAtMs[teller] = nowMs;
-        nodes[teller].onReported(limit, toShare(teller), nodes.length, true, nowMs);
+        nodes[teller].onReported(limit, toShare(teller), countConnected(teller), nodes.length, nowMs);
         toldDemand[teller] = nodes[teller].getReportedPerS();
         if (!hasNews) {
             return;
         }
         for (int i = 0; i < nodes.length; i++) {
-            if (i != teller) {
-                nodes[i].onOtherReported(limit, toShare(i), "node-" + teller, news, nodes[teller].getHeld(), nowMs);
+            if (i != teller && isCutOff[i] == isCutOff[teller]) {
+                // What was admitted behind a cut was counted there.
+                long counted = isReconnecting[teller][i] ? 0 : news;
+                isReconnecting[teller][i] = false;
+                nodes[i].onOtherReported(limit, toShare(i), "node-" + teller, counted, nodes[teller].getHeld(), nowMs);
             }
         }
     }
+
+    private int countConnected(int node) {
+        int connected = 0;
+        for (boolean cutOff : isCutOff) {
+            connected += cutOff == isCutOff[node] ? 1 : 0;
+        }
+        return connected;
+    }
 }
--- a/mesh/src/main/java/io/cranberryarch/mesh/PeerService.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/PeerService.java
@@ -169,6 +169,7 @@
             peer.setLink(Optional.empty());
             peer.setLostAtMs(loop.nowMs());
             peers.onPlacesChanged();
+            quotas.forget(peer.getInfo().node());
             log.state("event=peer-lost peer=" + peer.getInfo().node() + " zone="
                     + peer.getInfo().zone() + " cause=\"" + cause + "\"");
         }
@@ -332,6 +333,7 @@
         // The connection may have gone silent for good while new ones work.
         peer.setLink(Optional.empty());
         peer.setLostAtMs(loop.nowMs());
+        quotas.forget(peer.getInfo().node());
         dial(peer);
     }
 
--- a/mesh/src/main/java/io/cranberryarch/mesh/QuotaService.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/QuotaService.java
@@ -32,6 +32,10 @@
     private final Map<String, Double> demandOfOthers = new HashMap<>();
     private final long startedAtMs;
     private Map<String, AccountRule> limitedAccounts = Map.of();
+
+    /** The nodes that are connected, this one included; counted when one comes or goes, and at each report. */
+    private int connected = 1;
+
     private MeshSettings settings;
 
     QuotaService(EventLoop loop, PeerDirectory peers, MeshSettings settings) {
@@ -102,10 +106,14 @@
         }
     }
 
-    /** Notes what callers of another node use, as its status tells. */
+    /**
+     * Notes what callers of another node use, as its status tells. What the first status after a connection says was
+     * admitted meanwhile was counted at the other side of the cut.
+     */
     void onPeerStatus(String node, PeerStatusMessage status) {
         boolean isFirst = !usesByNode.containsKey(node);
         Map<String, AccountUse> known = usesByNode.computeIfAbsent(node, unused -> new HashMap<>());
+        connected = isFirst ? peers.countConnected() + 1 : connected;
         if (status.isComplete()) {
             known.forEach((account, use) -> addDemand(account, -use.demandPerS()));
             known.replaceAll((account, use) -> new AccountUse(0, use.admitted(), use.held()));
@@ -144,12 +152,12 @@
      */
     Map<String, AccountUse> report() {
         Map<String, AccountUse> news = new HashMap<>();
-        boolean isComplete = peers.countConnected() == peers.countNodes() - 1;
+        connected = peers.countConnected() + 1;
         long nowMs = loop.nowMs();
         for (AccountRule account : limitedAccounts.values()) {
             AccountQuota quota = quotas.get(account.name());
             boolean hasNews = quota.hasNews(nowMs);
-            quota.onReported(toLimit(account), toShare(account, quota), peers.countNodes(), isComplete, nowMs);
+            quota.onReported(toLimit(account), toShare(account, quota), connected, peers.countNodes(), nowMs);
             if (hasNews) {
                 news.put(account.name(), toUse(quota));
             }
@@ -186,7 +194,7 @@
         double own = quota.getReportedPerS();
         double total = own + demandOfOthers.getOrDefault(account.name(), 0.0);
         int nodes = peers.isFleetKnown() ? peers.countNodes() : UNKNOWN_FLEET_NODES;
-        return AccountQuota.toShare(own, total, nodes, account.ratePerS());
+        return AccountQuota.toShare(own, total, Math.min(nodes, connected), nodes, account.ratePerS());
     }
 
     private AccountQuota.Limit toLimit(AccountRule account) {
@@ -196,8 +204,9 @@
         return new AccountQuota.Limit(account.ratePerS(), account.burst(), slack);
     }
 
-    /** Forgets what a node held that has ended or has not been heard of for long. */
+    /** Forgets what the callers of a node use that has ended or cannot be reached. */
     void forget(String node) {
+        connected = peers.countConnected() + 1;
         Map<String, AccountUse> uses = usesByNode.remove(node);
         if (uses != null) {
             uses.forEach((account, use) -> addDemand(account, -use.demandPerS()));
