Fault soak of the node on the hosted platform: real processes, faults from outside

Four nodes run as processes, each beside an upstream and behind proxies to its upstream and the store. Callers keep sending. Checked from outside: an order runs at most once, "not run" is true, an answer is the whole one of its own request, a wrong key runs nothing, no upstream sees a key, service is back at each node, no task of a node failed.

Not covered yet: connections between nodes (processes are frozen instead), clocks, nested calls, planned stops without other faults.

--- /dev/null
+++ b/app/src/test/java/io/cranberryarch/app/soak/SoakFleet.java
@@ -0,0 +1,206 @@
+package io.cranberryarch.app.soak;
+
+import java.io.File;
+import java.io.IOException;
+import java.net.URI;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.stream.Collectors;
+
+/** Nodes as separate processes, each with an upstream beside it and proxies before its upstream and the store. */
+final class SoakFleet implements AutoCloseable {
+
+    static final String ACCOUNT = "acme";
+    static final String KEY = "key-of-acme";
+
+    private static final int ENTRY_PORT = 7001;
+    private static final int PEER_PORT = 7002;
+    private static final int READY_PORT = 7003;
+    private static final int CONTROL_PORT = 7004;
+    private static final int METRICS_PORT = 7005;
+
+    private final Path folder;
+    private final SoakStore store = new SoakStore();
+    private final Map<String, Integer> runs = SoakUpstream.newRuns();
+    private final Set<String> faults = ConcurrentHashMap.newKeySet();
+    private final List<Member> members = new ArrayList<>();
+    private long rulesVersion;
+
+    SoakFleet(Path folder, int size) throws IOException {
+        this.folder = folder;
+        for (int i = 0; i < size; i++) {
+            members.add(new Member("node-" + i, toHost(i)));
+        }
+        publish();
+        for (Member member : members) {
+            member.start();
+        }
+    }
+
+    SoakStore getStore() {
+        return store;
+    }
+
+    List<Member> getMembers() {
+        return members;
+    }
+
+    /** Gets how often each request ran, by its identifier. */
+    Map<String, Integer> getRuns() {
+        return runs;
+    }
+
+    /** Gets what upstreams saw that they must never see. */
+    Set<String> getFaults() {
+        return faults;
+    }
+
+    /** Publishes a new version of the rules, which differs in a time-out. */
+    void publish() {
+        rulesVersion += 3;
+        String routes = members.stream()
+                .flatMap(member -> List.of(
+                        toRoute("order", member.host, "non_idempotent"), toRoute("read", member.host, "idempotent"))
+                        .stream())
+                .collect(Collectors.joining(","));
+        store.publish("{\"version\":\"r" + rulesVersion + "\",\"routes\":{\"columns\":[\"name\",\"host\",\"prefix\","
+                + "\"service\",\"kind\",\"timeoutS\",\"priority\",\"maxAttempts\"],\"rows\":[" + routes
+                + "]},\"services\":{\"columns\":[\"name\",\"healthPath\",\"maxConnections\"],\"rows\":[[\""
+                + SoakUpstream.SERVICE + "\",\"/health\",100]]},\"tenants\":{\"columns\":[\"name\",\"apiKeys\"],"
+                + "\"rows\":[[\"" + ACCOUNT + "\",[\"" + KEY + "\"]]]},\"limits\":{\"maxHeaderBytes\":8000,"
+                + "\"maxBodyBytes\":100000,\"headerTimeoutS\":5,\"idleTimeoutS\":30}}");
+    }
+
+    /** Reads what the processes wrote. */
+    String readLogs() throws IOException {
+        StringBuilder text = new StringBuilder();
+        for (File file : folder.toFile().listFiles((unused, name) -> name.endsWith(".log"))) {
+            text.append(Files.readString(file.toPath()));
+        }
+        return text.toString();
+    }
+
+    @Override
+    public void close() throws Exception {
+        for (Member member : members) {
+            member.close();
+        }
+        store.close();
+    }
+
+    private String toRoute(String kind, String host, String repetition) {
+        return "[\"" + kind + "-" + host + "\",\"" + host + "\",\"/" + kind + "/\",\"" + SoakUpstream.SERVICE + "\",\""
+                + repetition + "\"," + (2 + rulesVersion % 2) + ",0,3]";
+    }
+
+    /** An address of the loopback network that no other run on the machine is likely to use. */
+    private static String toHost(int index) {
+        long pid = ProcessHandle.current().pid();
+        return "127." + (10 + pid % 200) + "." + (pid / 200 % 250) + "." + (1 + index);
+    }
+
+    /** A node and what stands beside it. */
+    final class Member implements AutoCloseable {
+
+        private final String name;
+        private final String host;
+        private final SoakUpstream upstream;
+        private final FaultProxy upstreamProxy;
+        private final FaultProxy storeProxy;
+        private volatile Process process;
+
+        private Member(String name, String host) throws IOException {
+            this.name = name;
+            this.host = host;
+            this.upstream = new SoakUpstream(name, host + ":" + CONTROL_PORT, runs, faults);
+            this.upstreamProxy = new FaultProxy(upstream.getAddress());
+            this.storeProxy = new FaultProxy(store.getAddress());
+        }
+
+        SoakUpstream getUpstream() {
+            return upstream;
+        }
+
+        FaultProxy getUpstreamProxy() {
+            return upstreamProxy;
+        }
+
+        FaultProxy getStoreProxy() {
+            return storeProxy;
+        }
+
+        URI toEntry(String path) {
+            return URI.create("http://" + host + ":" + ENTRY_PORT + path);
+        }
+
+        /** Sends a signal to the node and returns the process that got it. */
+        Process signal(String signal) throws IOException, InterruptedException {
+            Process signalled = process;
+            new ProcessBuilder("kill", "-" + signal, String.valueOf(signalled.pid()))
+                    .start()
+                    .waitFor();
+            return signalled;
+        }
+
+        /** Starts the node anew after one of its processes has ended, unless that was done already. */
+        synchronized void startAfter(Process ended) throws IOException, InterruptedException {
+            ended.waitFor();
+            if (process == ended) {
+                start();
+            }
+        }
+
+        private void start() throws IOException {
+            Path settings = Files.writeString(folder.resolve(name + ".ini"), toIni());
+            File output = folder.resolve(name + ".log").toFile();
+            process = new ProcessBuilder(
+                            Path.of(System.getProperty("java.home"), "bin", "java")
+                                    .toString(),
+                            "-Xmx96m",
+                            "-XX:+UseSerialGC",
+                            "-XX:TieredStopAtLevel=1",
+                            "-cp",
+                            System.getProperty("java.class.path"),
+                            "io.cranberryarch.app.Main",
+                            "serve",
+                            "--config",
+                            settings.toString())
+                    .redirectOutput(ProcessBuilder.Redirect.appendTo(output))
+                    .redirectErrorStream(true)
+                    .start();
+        }
+
+        @Override
+        public void close() throws Exception {
+            process.destroyForcibly().waitFor();
+            upstream.close();
+            upstreamProxy.close();
+            storeProxy.close();
+        }
+
+        private String toIni() {
+            return String.join(
+                    "\n",
+                    "[node]",
+                    "name = " + name,
+                    "zone = zone-" + name.charAt(name.length() - 1),
+                    "service = " + SoakUpstream.SERVICE,
+                    "[listen]",
+                    "entry = " + host + ":" + ENTRY_PORT,
+                    "peers = " + host + ":" + PEER_PORT,
+                    "ready = " + host + ":" + READY_PORT,
+                    "control = " + host + ":" + CONTROL_PORT,
+                    "metrics = " + host + ":" + METRICS_PORT,
+                    "[upstream]",
+                    "address = " + upstreamProxy.getAddress(),
+                    "[store]",
+                    "address = " + storeProxy.getAddress(),
+                    "");
+        }
+    }
+}
