The last counts of a stop are written also when another write is under way

Cause, found when reading the change: a stop that fell into a write of counts gave up the last increment, so that the report called the process ended early. The end now follows the write. CountsServiceTest.endThatFallsIntoAWriteIsWrittenAfterIt fails without it.

--- a/mesh/src/main/java/io/cranberryarch/mesh/CountsService.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/CountsService.java
@@ -36,6 +36,7 @@
     private Map<Series, Long> counts = new HashMap<>();
     private boolean isWriting;
     private boolean isFailing;
+    private boolean isEnding;
     private boolean isFinished;
 
     CountsService(EventLoop loop, SharedStore store, CountsSource source, EventLog log) {
@@ -69,9 +70,10 @@
         counts.merge(series, 1L, Long::sum);
     }
 
-    /** Writes what was counted and says that nothing will follow. */
+    /** Writes what was counted and says that nothing will follow, after a write that is under way. */
     void finish() {
-        if (!isFinished && !isWriting) {
+        isEnding = true;
+        if (!isWriting && !isFinished) {
             isFinished = true;
             collect();
             queue.finish(loop.wallMs());
@@ -107,8 +109,9 @@
         };
     }
 
-    private void write() {
-        if (!isWriting && !isFinished) {
+    /** Writes what was counted since the last write, unless one is under way. */
+    void write() {
+        if (!isWriting && !isEnding) {
             collect();
             writeNext(MAX_WRITES);
         }
@@ -132,9 +135,21 @@
                 SharedStore.Callback.of(
                         done -> {
                             onWritten(write, true, "");
-                            writeNext(maxWrites - 1);
+                            finishIfEnding();
+                            if (!isWriting) {
+                                writeNext(maxWrites - 1);
+                            }
                         },
-                        failure -> onWritten(write, false, failure.cause())));
+                        failure -> {
+                            onWritten(write, false, failure.cause());
+                            finishIfEnding();
+                        }));
+    }
+
+    private void finishIfEnding() {
+        if (isEnding) {
+            finish();
+        }
     }
 
     private void onWritten(IncrementQueue.Write write, boolean isAcknowledged, String cause) {
--- a/mesh/src/test/java/io/cranberryarch/mesh/CountsServiceTest.java
+++ b/mesh/src/test/java/io/cranberryarch/mesh/CountsServiceTest.java
@@ -59,6 +59,18 @@
         assertEquals(1, count("", Outcome.SHED));
     }
 
+    @Test
+    void endThatFallsIntoAWriteIsWrittenAfterIt() throws Exception {
+        loop.execute(() -> {
+            counts.record("ana", "order", Outcome.OK);
+            counts.write();
+            counts.record("ana", "order", Outcome.OK);
+            counts.finish();
+        });
+        TestFleet.await(() -> sum().sources().stream().anyMatch(CountsBody.Source::isFinished));
+        assertEquals(2, count("ana", Outcome.OK));
+    }
+
     /** A write that is not acknowledged may have taken effect or take effect later, and must not be counted twice. */
     @Test
     void whatTheStoreDoesNotTakeIsKeptAndCountedOnce() throws Exception {
