A hot account in a large fleet is held to its rate: nodes borrow only their shares

Each node may borrow up to four tokens between two reports however small its share, and with 95 nodes that is far more than the tolerated excess.

From one and a half times the rate on, nodes borrow only in proportion to their shares. Ruled out by the same properties: the level of the fleet's bucket as the sign of a hot account (refuses callers within the rate, or exceeds with a higher level), 0.9 and 1.25 times the rate (refuse callers within the rate of small accounts), and reporting borrowed tokens later while demand is below the rate (exceeds after mass kills).

--- a/decision/src/main/java/io/cranberryarch/decision/serving/AccountQuota.java
+++ b/decision/src/main/java/io/cranberryarch/decision/serving/AccountQuota.java
@@ -27,6 +27,12 @@
     /** Tokens that a node may borrow between two reports however small its share. */
     private static final double LEAST_BORROWED = 4;
 
+    /**
+     * The demand, as a part of the rate, from which nodes borrow only their shares. Many nodes that borrow a few tokens
+     * each between two reports would exceed the rate of an account that asks for much more.
+     */
+    private static final double HOT_PART = 1.5;
+
     /** Borrowed tokens after which the node reports at once. */
     private static final double REPORTED_AT_ONCE = 1;
 
@@ -146,11 +152,12 @@
      *
      * @param limit the limit of the account
      * @param share the node's share of it
+     * @param connectedPerS the demand of the connected nodes, this one included
      * @param connected the number of nodes that are connected, this one included
      * @param nodes the number of all nodes
      * @param nowMs the time in milliseconds
      */
-    public void onReported(Limit limit, double share, int connected, int nodes, long nowMs) {
+    public void onReported(Limit limit, double share, double connectedPerS, int connected, int nodes, long nowMs) {
         fill(limit, share, nowMs);
         otherNodes = Math.max(0, connected - 1);
         setConnectedPart(limit, Math.min(1, (double) connected / Math.max(1, nodes)), nowMs);
@@ -160,7 +167,8 @@
             reportedAdmitted = admitted;
         }
         double unused = Math.max(0, toUnused(limit, share, nowMs));
-        borrowable = Math.max(share * unused, Math.min(unused / 2, LEAST_BORROWED));
+        boolean isHot = connectedPerS >= HOT_PART * connectedPart * limit.ratePerS();
+        borrowable = isHot ? share * unused : Math.max(share * unused, Math.min(unused / 2, LEAST_BORROWED));
     }
 
     /**
--- a/decision/src/test/java/io/cranberryarch/decision/serving/AccountQuotaTest.java
+++ b/decision/src/test/java/io/cranberryarch/decision/serving/AccountQuotaTest.java
@@ -15,6 +15,11 @@
     private static final long WINDOW_MS = 5_000;
     private static final long STATUS_INTERVAL_MS = 700;
 
+    /** How often nodes of a large fleet tell each other of themselves, and how soon after they have borrowed. */
+    private static final long LARGE_STATUS_INTERVAL_MS = 1_000;
+
+    private static final long LARGE_SOON_MS = 350;
+
     /** The part of the requests that may be refused beyond what one bucket that sees all of them refuses. */
     private static final double ALLOWED_LOSS = 0.02;
 
@@ -85,6 +90,39 @@
                 fleet.toBusiestWindow(WINDOW_MS) + " admitted, " + allowed + " allowed");
     }
 
+    /** Many nodes, each of which sees few of the account's requests and tells the others with a delay. */
+    @Property(tries = 60, seed = "17")
+    void hotAccountStaysWithinItsLimitInALargeFleet(
+            @ForAll @IntRange(min = 60, max = 120) int nodes,
+            @ForAll @DoubleRange(min = 10, max = 200) double ratePerS,
+            @ForAll @DoubleRange(min = 0.2, max = 1.2) double usualPart,
+            @ForAll @DoubleRange(min = 1, max = 8) double hotPart,
+            @ForAll @DoubleRange(min = 0, max = 1) double killedPart,
+            @ForAll long seed) {
+        AccountQuota.Limit limit = toLimit(ratePerS);
+        QuotaFleet fleet = new QuotaFleet(limit, nodes, LARGE_STATUS_INTERVAL_MS, LARGE_SOON_MS, seed);
+        fleet.run(usualPart * ratePerS, 8_000);
+        fleet.run(hotPart * ratePerS, 8_000);
+        fleet.restart(killedPart);
+        fleet.run(hotPart * ratePerS, 4_000);
+        double allowed = ratePerS * WINDOW_MS / 1_000 + limit.burst() + limit.slack();
+        assertTrue(
+                fleet.toBusiestWindow(WINDOW_MS) <= allowed,
+                fleet.toBusiestWindow(WINDOW_MS) + " admitted, " + allowed + " allowed");
+    }
+
+    @Property(tries = 30, seed = "18")
+    void callersWithinTheRateAreServedInALargeFleet(
+            @ForAll @IntRange(min = 60, max = 120) int nodes,
+            @ForAll @DoubleRange(min = 10, max = 200) double ratePerS,
+            @ForAll @DoubleRange(min = 0.1, max = 0.9) double usualPart,
+            @ForAll long seed) {
+        QuotaFleet fleet = new QuotaFleet(toLimit(ratePerS), nodes, LARGE_STATUS_INTERVAL_MS, LARGE_SOON_MS, seed);
+        fleet.run(usualPart * ratePerS, 30_000);
+        double allowed = fleet.toCentralRefusedShare() + ALLOWED_LOSS;
+        assertTrue(fleet.toRefusedShare() <= allowed, fleet.toRefusedShare() + " refused, " + allowed + " allowed");
+    }
+
     /** An availability zone is cut off, or a node has just been killed, in a fleet with many nodes and accounts. */
     @Property(tries = 30, seed = "16")
     void callersWithinTheRateAreServedOnBothSidesOfACut(
@@ -185,14 +223,14 @@
     void nodeReportsAtOnceWhenItBorrowedAndNotWhenItSpentItsOwn() {
         AccountQuota quota = new AccountQuota(0);
         AccountQuota.Limit limit = new AccountQuota.Limit(10, 10, 30);
-        quota.onReported(limit, 0.5, 2, 2, 10_000);
+        quota.onReported(limit, 0.5, 0, 2, 2, 10_000);
         for (int i = 0; i < 5; i++) {
             assertTrue(quota.tryTake(limit, 0.5, 10_000));
         }
         assertFalse(quota.isReportDue());
         assertTrue(quota.tryTake(limit, 0.5, 10_000));
         assertTrue(quota.isReportDue());
-        quota.onReported(limit, 0.5, 2, 2, 10_000);
+        quota.onReported(limit, 0.5, 0, 2, 2, 10_000);
         assertFalse(quota.isReportDue());
     }
 
@@ -200,7 +238,7 @@
     void nodeThatDoesNotReachAllOthersSpendsOnlyItsShare() {
         AccountQuota quota = new AccountQuota(0);
         AccountQuota.Limit limit = new AccountQuota.Limit(10, 10, 0);
-        quota.onReported(limit, 0.5, 1, 2, 10_000);
+        quota.onReported(limit, 0.5, 0, 1, 2, 10_000);
         int admitted = 0;
         while (quota.tryTake(limit, 0.5, 10_000)) {
             admitted++;
@@ -219,7 +257,7 @@
     private static int countTaken(AccountQuota.Limit limit, double heldByOther) {
         AccountQuota quota = new AccountQuota(0);
         quota.onOtherReported(limit, 0.5, "other", 0, heldByOther, 10_000);
-        quota.onReported(limit, 0.5, 2, 2, 10_000);
+        quota.onReported(limit, 0.5, 0, 2, 2, 10_000);
         int admitted = 0;
         while (quota.tryTake(limit, 0.5, 10_000)) {
             admitted++;
--- a/decision/src/test/java/io/cranberryarch/decision/serving/QuotaFleet.java
+++ b/decision/src/test/java/io/cranberryarch/decision/serving/QuotaFleet.java
@@ -9,13 +9,14 @@
 final class QuotaFleet {
 
     private static final int STEP_MS = 10;
-    private static final long SOON_MS = 100;
+    private static final long DEFAULT_SOON_MS = 100;
 
     /** How long the nodes have been running without requests at the begin, by which their buckets are full. */
     private static final long IDLE_MS = 20_000;
 
     private final AccountQuota.Limit limit;
     private final long statusIntervalMs;
+    private final long soonMs;
     private final Random random;
     private final AccountQuota[] nodes;
     private final double[] weights;
@@ -31,6 +32,12 @@
     private long centralRefused;
 
     QuotaFleet(AccountQuota.Limit limit, int count, long statusIntervalMs, long seed) {
+        this(limit, count, statusIntervalMs, DEFAULT_SOON_MS, seed);
+    }
+
+    /** Creates nodes that tell after an interval what they have borrowed. */
+    QuotaFleet(AccountQuota.Limit limit, int count, long statusIntervalMs, long soonMs, long seed) {
+        this.soonMs = soonMs;
         this.limit = limit;
         this.statusIntervalMs = statusIntervalMs;
         this.random = new Random(seed);
@@ -64,7 +71,7 @@
             }
             for (int i = 0; i < nodes.length; i++) {
                 long sinceMs = nowMs - toldAtMs[i];
-                boolean isSoon = nodes[i].isReportDue() && sinceMs >= SOON_MS;
+                boolean isSoon = nodes[i].isReportDue() && sinceMs >= soonMs;
                 if (isSoon || sinceMs >= statusIntervalMs) {
                     tell(i);
                 }
@@ -155,12 +162,16 @@
 
     private double toShare(int node) {
         double own = nodes[node].getReportedPerS();
-        double total = own;
+        return AccountQuota.toShare(own, toConnectedDemand(node), countConnected(node), nodes.length, limit.ratePerS());
+    }
+
+    private double toConnectedDemand(int node) {
+        double total = nodes[node].getReportedPerS();
         for (int i = 0; i < nodes.length; i++) {
             boolean isConnected = isCutOff[i] == isCutOff[node];
             total += i == node || !isConnected ? 0 : toldDemand[i];
         }
-        return AccountQuota.toShare(own, total, countConnected(node), nodes.length, limit.ratePerS());
+        return total;
     }
 
     private void tell(int teller) {
@@ -168,7 +179,8 @@
         long news = nodes[teller].getAdmitted() - toldAdmitted[teller];
         toldAdmitted[teller] = nodes[teller].getAdmitted();
         toldAtMs[teller] = nowMs;
-        nodes[teller].onReported(limit, toShare(teller), countConnected(teller), nodes.length, nowMs);
+        nodes[teller].onReported(
+                limit, toShare(teller), toConnectedDemand(teller), countConnected(teller), nodes.length, nowMs);
         toldDemand[teller] = nodes[teller].getReportedPerS();
         if (!hasNews) {
             return;
--- a/mesh/src/main/java/io/cranberryarch/mesh/QuotaService.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/QuotaService.java
@@ -157,7 +157,13 @@
         for (AccountRule account : limitedAccounts.values()) {
             AccountQuota quota = quotas.get(account.name());
             boolean hasNews = quota.hasNews(nowMs);
-            quota.onReported(toLimit(account), toShare(account, quota), connected, peers.countNodes(), nowMs);
+            quota.onReported(
+                    toLimit(account),
+                    toShare(account, quota),
+                    toConnectedPerS(account, quota),
+                    connected,
+                    peers.countNodes(),
+                    nowMs);
             if (hasNews) {
                 news.put(account.name(), toUse(quota));
             }
@@ -192,11 +198,16 @@
 
     private double toShare(AccountRule account, AccountQuota quota) {
         double own = quota.getReportedPerS();
-        double total = own + demandOfOthers.getOrDefault(account.name(), 0.0);
+        double total = toConnectedPerS(account, quota);
         int nodes = peers.isFleetKnown() ? peers.countNodes() : UNKNOWN_FLEET_NODES;
         return AccountQuota.toShare(own, total, Math.min(nodes, connected), nodes, account.ratePerS());
     }
 
+    /** Gets what callers ask for at this node and at those to which it is connected. */
+    private double toConnectedPerS(AccountRule account, AccountQuota quota) {
+        return quota.getReportedPerS() + demandOfOthers.getOrDefault(account.name(), 0.0);
+    }
+
     private AccountQuota.Limit toLimit(AccountRule account) {
         double windowS = (double) settings.quotaWindowMs() / MS_PER_S;
         double slack =
