Servers that send bytes without end cannot exhaust a node

Bodies, heads, interim responses, chunk extensions, trailers and foreign responses without end now end the request and the connection.

Not bounded yet: bodies of callers and frames of peers beyond their own limits.

--- a/app/src/main/java/io/cranberryarch/app/ArchiveTraining.java
+++ b/app/src/main/java/io/cranberryarch/app/ArchiveTraining.java
@@ -9,6 +9,7 @@
 import io.cranberryarch.mesh.MeshSettings;
 import io.cranberryarch.mesh.SharedStore;
 import io.cranberryarch.mesh.UpstreamReport;
+import io.cranberryarch.net.ByteBudget;
 import io.cranberryarch.net.EventLoop;
 import io.cranberryarch.net.HttpClientConnection;
 import io.cranberryarch.net.HttpClientPool;
@@ -201,7 +202,7 @@
     }
 
     private HttpClientPool toPool(InetSocketAddress address) {
-        return new HttpClientPool(loop, address, MAX_BODY_BYTES, START_MS);
+        return new HttpClientPool(loop, address, MAX_BODY_BYTES, START_MS, new ByteBudget(MAX_BODY_BYTES));
     }
 
     private static ServingRules readRules(byte[] document) throws SettingsException {
--- a/mesh/src/main/java/io/cranberryarch/mesh/MeshNode.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/MeshNode.java
@@ -6,6 +6,7 @@
 import io.cranberryarch.counts.CountsSource;
 import io.cranberryarch.decision.serving.RouteCosts;
 import io.cranberryarch.decision.serving.WorkDemand;
+import io.cranberryarch.net.ByteBudget;
 import io.cranberryarch.net.EventLoop;
 import io.cranberryarch.net.HttpClientPool;
 import io.cranberryarch.net.HttpExchange;
@@ -49,6 +50,12 @@
     /** The largest body of an upstream's response. */
     private static final int MAX_BODY_BYTES = 16 * 1024 * 1024;
 
+    /**
+     * The part of the heap for responses of the upstream that are not whole; a whole one is copied for the frame, its
+     * reader and the caller.
+     */
+    private static final int HEAP_PARTS_FOR_ANSWERS = 8;
+
     /** How long a connection to the upstream is kept idle, below the timeouts that servers commonly have. */
     private static final long MAX_IDLE_CONNECTION_MS = 8_000;
 
@@ -67,6 +74,7 @@
     private final PeerService peerService;
     private final EntryService entry;
     private final MeshMetrics metrics = new MeshMetrics();
+    private final ByteBudget answerBytes = new ByteBudget(Runtime.getRuntime().maxMemory() / HEAP_PARTS_FOR_ANSWERS);
     private final QuotaService quotas;
     private final Forwarder forwarder;
     private final CountsService counts;
@@ -102,9 +110,9 @@
         upstream = new UpstreamState(loop, log);
         rules = new RulesService(loop, store, reader, log);
         HttpClientPool connections =
-                new HttpClientPool(loop, settings.upstream(), MAX_BODY_BYTES, MAX_IDLE_CONNECTION_MS);
+                new HttpClientPool(loop, settings.upstream(), MAX_BODY_BYTES, MAX_IDLE_CONNECTION_MS, answerBytes);
         gate = new Gate(loop, connections, names, upstream, log);
-        probe = new UpstreamProbe(connections, names, upstream, log);
+        probe = new UpstreamProbe(loop, connections, names, upstream, log);
         peers = new PeerDirectory(loop, self, gate, upstream);
         quotas = new QuotaService(loop, peers, settings);
         WorkDemand workDemand = new WorkDemand();
@@ -156,6 +164,7 @@
         metrics.gauge("gate_busy", gate::getBusy);
         metrics.gauge("gate_waiting", gate::getWaiting);
         metrics.gauge("gate_limit", gate::getLimit);
+        metrics.gauge("upstream_answer_bytes_held", answerBytes::getHeldBytes);
         metrics.gauge("counts_increments_waiting", counts::countWaiting);
         metrics.gauge("log_lines_left_out", log::countLeftOut);
     }
--- a/net/src/main/java/io/cranberryarch/net/HttpClientConnection.java
+++ b/net/src/main/java/io/cranberryarch/net/HttpClientConnection.java
@@ -21,13 +21,22 @@
  * <p>A response is handed over only when it is whole. Bytes that arrive while no request waits close the connection,
  * and so do bytes behind a whole response.
  */
-public final class HttpClientConnection implements TcpConnection.Handler {
+public final class HttpClientConnection implements TcpConnection.Handler, ByteBudget.Holder {
 
     private static final int MAX_HEAD_BYTES = 64 * 1024;
+
+    /** Interim responses to one request; servers send one or two. */
+    private static final int MAX_INTERIM_RESPONSES = 8;
+
+    /** Late responses to earlier requests that are skipped on one connection. */
+    private static final int MAX_FOREIGN_RESPONSES = 8;
+
+    private static final int FIRST_FINAL_STATUS = 200;
     private static final ByteBuffer NO_BYTES = ByteBuffer.allocate(0);
 
     private final EventLoop loop;
     private final int maxBodyBytes;
+    private final ByteBudget budget;
     private final TcpConnection connection;
     private final HttpParser parser = new HttpParser(new ResponseReader(), MAX_HEAD_BYTES);
     private Optional<Call> current = Optional.empty();
@@ -37,6 +46,9 @@
     private boolean isClosed;
     private long idleSinceMs;
     private long keepAliveMs = Long.MAX_VALUE;
+    private long receivedBytes;
+    private int interimResponses;
+    private int foreignResponses;
     private Runnable onIdle = () -> {};
     private Runnable onClose = () -> {};
 
@@ -46,10 +58,12 @@
      * @param loop the loop, not {@code null}
      * @param address the address of the server
      * @param maxBodyBytes the largest body of a response; the connection is closed at a larger one
+     * @param budget bounds what this and other connections hold of responses that are not whole
      */
-    public HttpClientConnection(EventLoop loop, InetSocketAddress address, int maxBodyBytes) {
+    public HttpClientConnection(EventLoop loop, InetSocketAddress address, int maxBodyBytes, ByteBudget budget) {
         this.loop = loop;
         this.maxBodyBytes = maxBodyBytes;
+        this.budget = budget;
         // The cache of header fields takes some 100 KB for each connection.
         this.parser.setHeaderCacheSize(0);
         this.connection = TcpConnection.connect(loop, address, this);
@@ -81,6 +95,8 @@
         }
         parser.reset();
         parser.setHeadResponse(request.method().equals("HEAD"));
+        receivedBytes = 0;
+        interimResponses = 0;
         current = Optional.of(call);
         connection.write(HttpWriter.toBytes(request));
     }
@@ -125,6 +141,12 @@
 
     @Override
     public void onData(ByteBuffer bytes) {
+        receivedBytes += bytes.remaining();
+        if (receivedBytes > (long) maxBodyBytes + MAX_HEAD_BYTES) {
+            // Also bounds what is not part of a body, e.g. chunk extensions and trailers.
+            giveUp("more than " + maxBodyBytes + " bytes for one request");
+            return;
+        }
         while (bytes.hasRemaining() && !isClosed) {
             if (current.isEmpty()) {
                 connection.close();
@@ -159,11 +181,18 @@
     @Override
     public void onClosed(Optional<IOException> failure) {
         isClosed = true;
+        budget.release(this);
         String cause = failure.map(IOException::getMessage).orElse("closed by peer");
         fail(isConnected ? HttpFailure.MAY_HAVE_RUN : HttpFailure.NOT_SENT, cause);
         onClose.run();
     }
 
+    @Override
+    public void giveUp(String cause) {
+        fail(HttpFailure.MAY_HAVE_RUN, cause);
+        connection.close();
+    }
+
     private void fail(HttpFailure failure, String cause) {
         Optional<Call> failed = current;
         current = Optional.empty();
@@ -174,9 +203,14 @@
         Call call = current.orElseThrow();
         HttpResponseMessage response = completed.orElseThrow();
         completed = Optional.empty();
+        budget.release(this);
         if (!call.isAnswer.test(response)) {
             // A response to an earlier request, late: the one that is waited for may follow.
             isReusable = false;
+            foreignResponses++;
+            if (foreignResponses > MAX_FOREIGN_RESPONSES) {
+                giveUp("more than " + MAX_FOREIGN_RESPONSES + " responses to other requests");
+            }
             return;
         }
         current = Optional.empty();
@@ -248,12 +282,11 @@
             byte[] part = new byte[bytes.remaining()];
             bytes.get(part);
             body.write(part, 0, part.length);
-            if (body.size() > maxBodyBytes) {
-                fail(HttpFailure.MAY_HAVE_RUN, "response larger than " + maxBodyBytes + " bytes");
-                connection.close();
-                return true;
+            budget.add(HttpClientConnection.this, part.length);
+            if (!isClosed && body.size() > maxBodyBytes) {
+                giveUp("response larger than " + maxBodyBytes + " bytes");
             }
-            return false;
+            return isClosed;
         }
 
         @Override
@@ -263,7 +296,14 @@
 
         @Override
         public boolean messageComplete() {
-            if (current.isEmpty() || status < 200) {
+            if (current.isEmpty()) {
+                return true;
+            }
+            if (status < FIRST_FINAL_STATUS) {
+                interimResponses++;
+                if (interimResponses > MAX_INTERIM_RESPONSES) {
+                    giveUp("more than " + MAX_INTERIM_RESPONSES + " interim responses");
+                }
                 return true;
             }
             Set<String> options = HttpHeaders.toConnectionOptions(headers);
--- a/net/src/main/java/io/cranberryarch/net/HttpClientPool.java
+++ b/net/src/main/java/io/cranberryarch/net/HttpClientPool.java
@@ -13,6 +13,7 @@
     private final InetSocketAddress address;
     private final int maxBodyBytes;
     private final long maxIdleMs;
+    private final ByteBudget budget;
     private final Deque<HttpClientConnection> idle = new ArrayDeque<>();
     private long opened;
 
@@ -23,12 +24,15 @@
      * @param address the address of the server
      * @param maxBodyBytes the largest body of a response
      * @param maxIdleMs the longest time to keep an unused connection, in milliseconds
+     * @param budget bounds what connections hold of responses that are not whole
      */
-    public HttpClientPool(EventLoop loop, InetSocketAddress address, int maxBodyBytes, long maxIdleMs) {
+    public HttpClientPool(
+            EventLoop loop, InetSocketAddress address, int maxBodyBytes, long maxIdleMs, ByteBudget budget) {
         this.loop = loop;
         this.address = address;
         this.maxBodyBytes = maxBodyBytes;
         this.maxIdleMs = maxIdleMs;
+        this.budget = budget;
     }
 
     /**
@@ -74,7 +78,7 @@
             connection.cancel();
         }
         opened++;
-        HttpClientConnection connection = new HttpClientConnection(loop, address, maxBodyBytes);
+        HttpClientConnection connection = new HttpClientConnection(loop, address, maxBodyBytes, budget);
         connection.setListeners(() -> idle.addLast(connection), () -> idle.remove(connection));
         return connection;
     }
--- a/net/src/test/java/io/cranberryarch/net/HttpClientConnectionTest.java
+++ b/net/src/test/java/io/cranberryarch/net/HttpClientConnectionTest.java
@@ -31,7 +31,11 @@
         runner = new LoopRunner();
         server = new ServerSocket(0, 10, InetAddress.getByName("127.0.0.1"));
         pool = new HttpClientPool(
-                runner.getLoop(), new InetSocketAddress("127.0.0.1", server.getLocalPort()), 1_000, 60_000);
+                runner.getLoop(),
+                new InetSocketAddress("127.0.0.1", server.getLocalPort()),
+                1_000,
+                60_000,
+                new ByteBudget(10_000));
     }
 
     @AfterEach
