--- a/app/src/main/java/io/cranberryarch/app/Main.java
+++ b/app/src/main/java/io/cranberryarch/app/Main.java
@@ -13,6 +13,7 @@
 import io.cranberryarch.operator.SettingsCommand;
 import io.cranberryarch.operator.StatusCommand;
 import io.cranberryarch.standin.StandinCommand;
+import java.io.IOException;
 import java.util.Arrays;
 import picocli.AutoComplete;
 import picocli.CommandLine;
@@ -64,6 +65,9 @@
      * @return the exit code, see {@link ExitCodes}
      */
     public static int run(String... arguments) {
+        if (arguments.length == 1 && arguments[0].equals(ServeCommand.NAME)) {
+            return serve();
+        }
         if (arguments.length > 0 && arguments[0].equals(ServeCommand.NAME)) {
             // A node starts on every machine and again after each failure; it needs no other command.
             String[] options = Arrays.copyOfRange(arguments, 1, arguments.length);
@@ -72,6 +76,16 @@
         return execute(new CommandLine(new Main()), arguments);
     }
 
+    /** Runs a node without the parser of the command line. */
+    private static int serve() {
+        try {
+            return NodeProcess.ofEnvironment().run();
+        } catch (IOException e) {
+            System.err.println("error: " + e.getMessage());
+            return ExitCodes.REFUSED;
+        }
+    }
+
     private static int execute(CommandLine command, String... arguments) {
         return command.setExecutionExceptionHandler(Main::onFailure).execute(arguments);
     }
--- a/mesh/src/main/java/io/cranberryarch/mesh/EntryAdmission.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/EntryAdmission.java
@@ -53,15 +53,7 @@
         }
         long retryAfterMs = toRetryAfterMs();
         returns.onRefused(caller, nowMs, nowMs + retryAfterMs);
-        String details = String.format(
-                Locale.ROOT,
-                " rank=%d returning=%b load=%.2f served-share=%.2f retry-after-ms=%d",
-                rank,
-                isReturning,
-                overload.get().load(),
-                overload.get().served(),
-                retryAfterMs);
-        return Optional.of(new Rejection("overload-of-" + overload.get().service(), retryAfterMs, details));
+        return Optional.of(new Rejection(overload.get(), rank, isReturning, retryAfterMs));
     }
 
     /**
@@ -82,9 +74,27 @@
     /**
      * A refusal.
      *
-     * @param reason the reason
+     * @param overload the service without room
+     * @param rank the importance of the request
+     * @param isReturning whether its caller comes back after a refusal
      * @param retryAfterMs when the caller should come back, in milliseconds
-     * @param details what decided, for the log
      */
-    record Rejection(String reason, long retryAfterMs, String details) {}
+    record Rejection(ServiceLoads.Overload overload, int rank, boolean isReturning, long retryAfterMs) {
+
+        String getReason() {
+            return "overload-of-" + overload.service();
+        }
+
+        /** Writes what decided, as fields of a log line. */
+        String toLogFields() {
+            return String.format(
+                    Locale.ROOT,
+                    " rank=%d returning=%b load=%.2f served-share=%.2f retry-after-ms=%d",
+                    rank,
+                    isReturning,
+                    overload.load(),
+                    overload.served(),
+                    retryAfterMs);
+        }
+    }
 }
--- a/mesh/src/main/java/io/cranberryarch/mesh/EntryService.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/EntryService.java
@@ -20,6 +20,8 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Supplier;
+import java.util.regex.Pattern;
 
 /**
  * Receives requests of callers, and the calls that the upstream makes while it runs other requests: finds the route,
@@ -28,6 +30,7 @@
 final class EntryService {
 
     private static final String BEARER = "bearer ";
+    private static final Pattern TIMEOUT = Pattern.compile("\\d{1,9}");
     private static final long DEFAULT_TIMEOUT_MS = 5_000;
 
     /** The time before the end of the timeout at which an answer is given up, so that it reaches the caller in time. */
@@ -117,7 +120,7 @@
         private String service = "";
         private Optional<Forwarder.Attempts> attempts = Optional.empty();
         private Optional<EventLoop.Timer> timeout = Optional.empty();
-        private String details = "";
+        private Supplier<String> details = () -> "";
         private boolean isDone;
 
         Entry(HttpExchange exchange) {
@@ -153,7 +156,7 @@
             int rank = toRank(route.get());
             Optional<Long> overRateMs = account.flatMap(quotas::charge);
             if (overRateMs.isPresent()) {
-                details = quotas.toLogFields(account.orElseThrow());
+                details = () -> quotas.toLogFields(account.orElseThrow());
                 refuse(429, "over-rate", overRateMs.get());
                 return;
             }
@@ -164,11 +167,17 @@
         }
 
         private long toTimeoutMs(ServingRoute target) {
-            String text = request.findHeader(names.timeoutMs()).orElse("");
-            long callerMs = text.matches("\\d{1,9}") ? Long.parseLong(text) : DEFAULT_TIMEOUT_MS;
+            long callerMs = findCallerTimeoutMs().orElse(DEFAULT_TIMEOUT_MS);
             return Math.max(1, Math.min(callerMs, target.timeoutMs()) - TIMEOUT_MARGIN_MS);
         }
 
+        /** Finds the time that the caller waits, if it says one that can be read. */
+        private Optional<Long> findCallerTimeoutMs() {
+            return request.findHeader(names.timeoutMs())
+                    .filter(text -> TIMEOUT.matcher(text).matches())
+                    .map(Long::valueOf);
+        }
+
         /** Finds the account of the request, or the run to which a nested call belongs. */
         private boolean authenticate(ServingRules known, ServingRoute target) {
             String header = request.findHeader("Authorization").orElse("");
@@ -176,9 +185,8 @@
                 account = known.findAccount(header.substring(BEARER.length()).strip());
                 return account.isPresent() || target.isOpen();
             }
-            String text = request.findHeader(names.timeoutMs()).orElse("");
-            if (isKeyless() && isFromOwnMachine() && text.matches("\\d{1,9}")) {
-                parent = gate.findParent(startMs + Long.parseLong(text));
+            if (isKeyless() && isFromOwnMachine()) {
+                parent = findCallerTimeoutMs().flatMap(timeoutMs -> gate.findParent(startMs + timeoutMs));
             }
             return target.isOpen() || parent.isPresent();
         }
@@ -207,8 +215,8 @@
                 return false;
             }
             account.ifPresent(quotas::giveBack);
-            details = rejection.get().details();
-            refuse(503, rejection.get().reason(), rejection.get().retryAfterMs());
+            details = rejection.get()::toLogFields;
+            refuse(503, rejection.get().getReason(), rejection.get().retryAfterMs());
             return true;
         }
 
@@ -309,7 +317,7 @@
                         + " account=" + account.map(AccountRule::name).orElse("-") + " nested=" + parent.isPresent()
                         + " status=" + status + " outcome=" + outcome + " took-ms=" + tookMs + " rules-version="
                         + rules.getVersion() + " rules-age-ms=" + rules.getAgeMs()
-                        + attempts.map(Forwarder.Attempts::toLogFields).orElse("") + details);
+                        + attempts.map(Forwarder.Attempts::toLogFields).orElse("") + details.get());
             }
         }
     }
--- a/mesh/src/main/java/io/cranberryarch/mesh/Refusals.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/Refusals.java
@@ -6,7 +6,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Locale;
 
 /** Makes the answers of the node itself, in the place of an upstream's. */
 final class Refusals {
@@ -14,7 +13,7 @@
     /** The reason of a request that cannot be read. */
     static final String MALFORMED = "request-malformed";
 
-    private static final double MS_PER_S = 1_000.0;
+    private static final int MS_PER_S = 1_000;
 
     private Refusals() {}
 
@@ -30,7 +29,7 @@
     static HttpResponseMessage of(int status, String reason, long retryAfterMs, List<HeaderField> headers) {
         List<HeaderField> all = new ArrayList<>(headers);
         if (retryAfterMs > 0 && (status == 503 || status == 429)) {
-            all.add(new HeaderField("Retry-After", String.format(Locale.ROOT, "%.3f", retryAfterMs / MS_PER_S)));
+            all.add(new HeaderField("Retry-After", toSeconds(retryAfterMs)));
         }
         if (status == 401) {
             all.add(new HeaderField("WWW-Authenticate", "Bearer"));
@@ -40,4 +39,10 @@
         String body = "{\"reason\":\"" + reason + "\",\"execution\":\"" + execution.toText() + "\"}";
         return new HttpResponseMessage(status, all, body.getBytes(StandardCharsets.US_ASCII));
     }
+
+    /** Writes seconds with three decimals. A formatter would take longer than the rest of a refusal. */
+    static String toSeconds(long ms) {
+        String decimals = String.valueOf(MS_PER_S + ms % MS_PER_S).substring(1);
+        return ms / MS_PER_S + "." + decimals;
+    }
 }
