Costs of routes are learned from peers and from served requests only

Until the first trees of a route have ended at a node, it admits all of them: at 95 nodes each learns by itself, for one to two seconds. Trees that failed were recorded too; they stop before they reach the deep service, so that overload made its own routes look cheap and let in more of them.

The node that first learns a route tells the others, a node that starts asks the first peer it finds, and only served requests are recorded, the first twenty with even weights.

--- a/mesh/src/main/java/io/cranberryarch/mesh/MeshNode.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/MeshNode.java
@@ -116,6 +116,8 @@
         peers = new PeerDirectory(loop, self, gate, upstream);
         quotas = new QuotaService(loop, peers, settings);
         WorkDemand workDemand = new WorkDemand();
+        RouteCosts routeCosts = new RouteCosts();
+        CostsService costs = new CostsService(loop, routeCosts);
         long incarnation = loop.wallMs();
         counts = new CountsService(loop, store, new CountsSource(settings.node(), incarnation, settings.zone()), log);
         peerService = new PeerService(
@@ -129,10 +131,10 @@
                 rules,
                 log,
                 quotas,
-                workDemand);
+                workDemand,
+                costs);
         forwarder = new Forwarder(loop, settings, peers, gate, metrics, log);
-        RouteCosts costs = new RouteCosts();
-        ServiceLoads loads = new ServiceLoads(loop, peers, costs, workDemand);
+        ServiceLoads loads = new ServiceLoads(loop, peers, routeCosts, workDemand);
         entry = new EntryService(
                 loop,
                 settings,
--- a/mesh/src/main/java/io/cranberryarch/mesh/PeerService.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/PeerService.java
@@ -11,6 +11,7 @@
 import io.cranberryarch.wire.PeerStatusMessage;
 import io.cranberryarch.wire.PeersMessage;
 import io.cranberryarch.wire.PeersRequestMessage;
+import io.cranberryarch.wire.RouteCostsMessage;
 import io.cranberryarch.wire.RulesMessage;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -68,12 +69,14 @@
     private final EventLog log;
     private final QuotaService quotas;
     private final WorkDemand workDemand;
+    private final CostsService costs;
     private final Set<PeerLink> links = new LinkedHashSet<>();
     private TcpListener listener;
     private PeerInfo self;
     private PeerStatusMessage.Upstream toldUpstream = new PeerStatusMessage.Upstream("", "");
     private long upstreamChangedAtMs;
     private long statusAtMs;
+    private long demandAtMs;
     private long peersRequestAtMs = Long.MIN_VALUE;
     private boolean isFleetRead;
 
@@ -88,7 +91,8 @@
             RulesService rules,
             EventLog log,
             QuotaService quotas,
-            WorkDemand workDemand) {
+            WorkDemand workDemand,
+            CostsService costs) {
         this.loop = loop;
         this.self = self;
         this.incarnation = incarnation;
@@ -100,6 +104,8 @@
         this.log = log;
         this.quotas = quotas;
         this.workDemand = workDemand;
+        this.costs = costs;
+        costs.setBroadcast(this::broadcast);
     }
 
     /** Binds the port for peers and begins to keep the connections. */
@@ -149,13 +155,21 @@
     }
 
     void broadcastStatus() {
-        statusAtMs = loop.nowMs();
-        PeerStatusMessage status = toChanges();
+        long nowMs = loop.nowMs();
+        statusAtMs = nowMs;
+        boolean isDemandDue = nowMs - demandAtMs >= toStatusIntervalMs();
+        if (isDemandDue) {
+            demandAtMs = nowMs;
+        }
+        broadcast(toChanges(isDemandDue ? workDemand.report(nowMs) : Map.of()));
+    }
+
+    private void broadcast(Message message) {
         List<PeerLink> connected = new ArrayList<>();
         for (Peer peer : peers.getPeers()) {
             peer.getLink().filter(PeerLink::isConnected).ifPresent(connected::add);
         }
-        PeerLink.sendToAll(connected, status);
+        PeerLink.sendToAll(connected, message);
     }
 
     void onLinkUp(PeerLink link) {
@@ -167,6 +181,8 @@
             case PEER_HELLO -> onHello(link, (PeerHelloMessage) message);
             case PEER_STATUS -> link.getPeer().ifPresent(peer -> onStatus(peer, (PeerStatusMessage) message));
             case RULES_REQUEST -> rules.getDocument().ifPresent(document -> link.send(new RulesMessage(document)));
+            case ROUTE_COSTS_REQUEST -> costs.onRequest(link);
+            case ROUTE_COSTS -> costs.onCosts((RouteCostsMessage) message);
             case PEERS_REQUEST -> sendPeers(link);
             case PEERS -> onPeers((PeersMessage) message);
             case RULES -> rules.onDocument(((RulesMessage) message).document(), "peer");
@@ -245,6 +261,7 @@
                     + hello.incarnation());
         }
         askForPeers(link);
+        costs.onConnected(link);
     }
 
     /** Asks a node which others there are while the store cannot be read. */
@@ -303,15 +320,14 @@
     }
 
     /** Notes that all connected nodes are told what changed since the last status. */
-    private PeerStatusMessage toChanges() {
+    private PeerStatusMessage toChanges(Map<String, Double> demand) {
         PeerStatusMessage.Upstream own = toUpstream();
         if (!own.equals(toldUpstream)) {
             toldUpstream = own;
             upstreamChangedAtMs = loop.nowMs();
         }
         boolean isNamed = loop.nowMs() - upstreamChangedAtMs < UPSTREAM_NAMED_MS;
-        return toStatus(
-                isNamed ? Optional.of(own) : Optional.empty(), workDemand.report(loop.nowMs()), false, quotas.report());
+        return toStatus(isNamed ? Optional.of(own) : Optional.empty(), demand, false, quotas.report());
     }
 
     private PeerStatusMessage.Upstream toUpstream() {
