--- a/decision/src/test/java/io/cranberryarch/decision/serving/AccountQuotaTest.java
+++ b/decision/src/test/java/io/cranberryarch/decision/serving/AccountQuotaTest.java
@@ -111,6 +111,26 @@
                 fleet.toBusiestWindow(WINDOW_MS) + " admitted, " + allowed + " allowed");
     }
 
+    /** All nodes of a large fleet are killed at once while an account asks for many times its rate. */
+    @Property(tries = 60, seed = "19")
+    void hotAccountStaysWithinItsLimitWhenALargeFleetIsKilled(
+            @ForAll @IntRange(min = 60, max = 120) int nodes,
+            @ForAll @DoubleRange(min = 10, max = 200) double ratePerS,
+            @ForAll @DoubleRange(min = 0.2, max = 1.2) double usualPart,
+            @ForAll @DoubleRange(min = 2, max = 8) double hotPart,
+            @ForAll long seed) {
+        AccountQuota.Limit limit = toLimit(ratePerS);
+        QuotaFleet fleet = new QuotaFleet(limit, nodes, LARGE_STATUS_INTERVAL_MS, LARGE_SOON_MS, seed);
+        fleet.run(usualPart * ratePerS, 8_000);
+        fleet.run(hotPart * ratePerS, 8_000);
+        fleet.restart(1);
+        fleet.run(hotPart * ratePerS, 4_000);
+        double allowed = ratePerS * WINDOW_MS / 1_000 + limit.burst() + limit.slack();
+        assertTrue(
+                fleet.toBusiestWindow(WINDOW_MS) <= allowed,
+                fleet.toBusiestWindow(WINDOW_MS) + " admitted, " + allowed + " allowed");
+    }
+
     @Property(tries = 30, seed = "18")
     void callersWithinTheRateAreServedInALargeFleet(
             @ForAll @IntRange(min = 60, max = 120) int nodes,
