--- a/mesh/src/test/java/io/cranberryarch/mesh/TwoNodesTest.java
+++ b/mesh/src/test/java/io/cranberryarch/mesh/TwoNodesTest.java
@@ -24,6 +24,8 @@
         fleet.publish(1);
         fleet.start();
         TestFleet.await(() -> near.metrics().contains("peers_connected 1"));
+        // A connection counts from the peer's greeting on; what its upstream takes follows in a status.
+        fleet.awaitLine("event=instance-changed peer=node-b .*accepting=true");
     }
 
     @AfterEach
