--- a/mesh/src/main/java/io/cranberryarch/mesh/MeshNode.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/MeshNode.java
@@ -78,6 +78,7 @@
     private final QuotaService quotas;
     private final Forwarder forwarder;
     private final CountsService counts;
+    private final CostsService costs;
     private MeshSettings settings;
     private HttpServer entryServer;
     private HttpServer readyServer;
@@ -117,7 +118,7 @@
         quotas = new QuotaService(loop, peers, settings);
         WorkDemand workDemand = new WorkDemand();
         RouteCosts routeCosts = new RouteCosts();
-        CostsService costs = new CostsService(loop, routeCosts);
+        costs = new CostsService(loop, routeCosts);
         long incarnation = loop.wallMs();
         counts = new CountsService(loop, store, new CountsSource(settings.node(), incarnation, settings.zone()), log);
         peerService = new PeerService(
@@ -166,6 +167,7 @@
         metrics.gauge("gate_busy", gate::getBusy);
         metrics.gauge("gate_waiting", gate::getWaiting);
         metrics.gauge("gate_limit", gate::getLimit);
+        metrics.gauge("routes_with_known_cost", costs::countRoutes);
         metrics.gauge("upstream_answer_bytes_held", answerBytes::getHeldBytes);
         metrics.gauge("counts_increments_waiting", counts::countWaiting);
         metrics.gauge("log_lines_left_out", log::countLeftOut);
