--- a/mesh/src/main/java/io/cranberryarch/mesh/CostsService.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/CostsService.java
@@ -14,8 +14,8 @@
  */
 final class CostsService {
 
-    /** How often another node is asked while nothing is known; before the first traffic nobody knows anything. */
-    private static final long REQUEST_INTERVAL_MS = 1_000;
+    /** How long an answer is awaited before the next node is asked; most come within a few milliseconds. */
+    private static final long REQUEST_INTERVAL_MS = 100;
 
     private final EventLoop loop;
     private final RouteCosts costs;
@@ -40,18 +40,10 @@
         }
     }
 
-    int countRoutes() {
-        return costs.getAll().size();
-    }
-
-    /** Tells whether nothing is known and the last question was not answered. */
-    boolean isAskDue() {
-        return costs.isEmpty() && loop.nowMs() - requestedAtMs >= REQUEST_INTERVAL_MS;
-    }
-
-    /** Asks a node what it knows, if that is due. */
-    void ask(PeerLink link) {
-        if (isAskDue()) {
+    /** Asks a node that has just been connected, while nothing is known. */
+    void onConnected(PeerLink link) {
+        boolean isDue = loop.nowMs() - requestedAtMs >= REQUEST_INTERVAL_MS;
+        if (isDue && costs.isEmpty()) {
             requestedAtMs = loop.nowMs();
             link.send(new RouteCostsRequestMessage());
         }
--- a/mesh/src/main/java/io/cranberryarch/mesh/MeshNode.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/MeshNode.java
@@ -78,7 +78,6 @@
     private final QuotaService quotas;
     private final Forwarder forwarder;
     private final CountsService counts;
-    private final CostsService costs;
     private MeshSettings settings;
     private HttpServer entryServer;
     private HttpServer readyServer;
@@ -118,7 +117,7 @@
         quotas = new QuotaService(loop, peers, settings);
         WorkDemand workDemand = new WorkDemand();
         RouteCosts routeCosts = new RouteCosts();
-        costs = new CostsService(loop, routeCosts);
+        CostsService costs = new CostsService(loop, routeCosts);
         long incarnation = loop.wallMs();
         counts = new CountsService(loop, store, new CountsSource(settings.node(), incarnation, settings.zone()), log);
         peerService = new PeerService(
@@ -167,7 +166,6 @@
         metrics.gauge("gate_busy", gate::getBusy);
         metrics.gauge("gate_waiting", gate::getWaiting);
         metrics.gauge("gate_limit", gate::getLimit);
-        metrics.gauge("routes_with_known_cost", costs::countRoutes);
         metrics.gauge("upstream_answer_bytes_held", answerBytes::getHeldBytes);
         metrics.gauge("counts_increments_waiting", counts::countWaiting);
         metrics.gauge("log_lines_left_out", log::countLeftOut);
--- a/mesh/src/main/java/io/cranberryarch/mesh/PeerService.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/PeerService.java
@@ -22,7 +22,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.ThreadLocalRandom;
 import org.tinylog.Logger;
 
 /** The connections to the other nodes, and what the nodes say to each other of themselves. */
@@ -262,23 +261,7 @@
                     + hello.incarnation());
         }
         askForPeers(link);
-        costs.ask(link);
-    }
-
-    /** Asks one of the connected nodes for what the first that were asked did not know. */
-    private void askAnyPeer() {
-        if (isFleetRead && !costs.isAskDue()) {
-            return;
-        }
-        List<PeerLink> usable = new ArrayList<>();
-        for (Peer peer : peers.getPeers()) {
-            peer.getLink().filter(PeerLink::isUsable).ifPresent(usable::add);
-        }
-        if (!usable.isEmpty()) {
-            PeerLink any = usable.get(ThreadLocalRandom.current().nextInt(usable.size()));
-            askForPeers(any);
-            costs.ask(any);
-        }
+        costs.onConnected(link);
     }
 
     /** Asks a node which others there are while the store cannot be read. */
@@ -407,7 +390,6 @@
         if (isEarlyDue || sinceStatusMs >= toStatusIntervalMs()) {
             broadcastStatus();
         }
-        askAnyPeer();
         long silentMs = SILENT_INTERVALS * toStatusIntervalMs();
         long busySilentMs = toStatusIntervalMs() + LATE_STATUS_MS;
         for (PeerLink link : new ArrayList<>(links)) {
@@ -416,6 +398,9 @@
                     .filter(current -> current == link)
                     .isPresent();
             long allowedMs = link.isAwaitingAnswers() ? busySilentMs : silentMs;
+            if (isCurrent && link.isUsable()) {
+                askForPeers(link);
+            }
             if (isCurrent && link.isUsable() && link.getSilentMs() > allowedMs) {
                 onSilent(link);
             } else if (!isCurrent && link.isConnected() && !link.hasPending() && link.getSilentMs() > silentMs) {
