--- a/decision/src/main/java/io/cranberryarch/decision/serving/WorkDemand.java
+++ b/decision/src/main/java/io/cranberryarch/decision/serving/WorkDemand.java
@@ -22,7 +22,7 @@
     private static final double NEGLIGIBLE_SLOTS = 0.02;
 
     /** The change of demand that is worth telling the others, as a part of what they know. */
-    private static final double TOLD_CHANGE_PART = 0.2;
+    private static final double TOLD_CHANGE_PART = 0.1;
 
     private static final char SEPARATOR = '@';
 
--- a/mesh/src/main/java/io/cranberryarch/mesh/EntryService.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/EntryService.java
@@ -4,6 +4,7 @@
 import io.cranberryarch.context.ForwardedAnswer;
 import io.cranberryarch.context.ForwardedRequest;
 import io.cranberryarch.context.HeaderField;
+import io.cranberryarch.decision.serving.RouteCosts;
 import io.cranberryarch.net.EventLoop;
 import io.cranberryarch.net.HttpExchange;
 import io.cranberryarch.net.HttpHeaders;
@@ -28,7 +29,6 @@
  */
 final class EntryService {
 
-    private static final int SERVER_ERROR = 500;
     private static final String BEARER = "bearer ";
     private static final Pattern TIMEOUT = Pattern.compile("\\d{1,9}");
     private static final long DEFAULT_TIMEOUT_MS = 5_000;
@@ -47,7 +47,7 @@
     private final Forwarder forwarder;
     private final QuotaService quotas;
     private final EntryAdmission admission;
-    private final CostsService costs;
+    private final RouteCosts costs;
     private final MeshMetrics metrics;
     private final CountsService counts;
     private final EventLog log;
@@ -64,7 +64,7 @@
             Forwarder forwarder,
             QuotaService quotas,
             EntryAdmission admission,
-            CostsService costs,
+            RouteCosts costs,
             MeshMetrics metrics,
             CountsService counts,
             EventLog log) {
@@ -248,7 +248,7 @@
         private void finish(ForwardedAnswer answer) {
             if (!answer.usedMs().isEmpty()) {
                 parent.ifPresent(run -> run.addUsed(answer.usedMs()));
-                if (parent.isEmpty() && answer.isAnswered() && answer.status() < SERVER_ERROR) {
+                if (parent.isEmpty() && answer.isAnswered()) {
                     costs.record(route.orElseThrow().name(), answer.usedMs());
                 }
             }
--- a/mesh/src/main/java/io/cranberryarch/mesh/MeshNode.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/MeshNode.java
@@ -116,8 +116,6 @@
         peers = new PeerDirectory(loop, self, gate, upstream);
         quotas = new QuotaService(loop, peers, settings);
         WorkDemand workDemand = new WorkDemand();
-        RouteCosts routeCosts = new RouteCosts();
-        CostsService costs = new CostsService(loop, routeCosts);
         long incarnation = loop.wallMs();
         counts = new CountsService(loop, store, new CountsSource(settings.node(), incarnation, settings.zone()), log);
         peerService = new PeerService(
@@ -131,10 +129,10 @@
                 rules,
                 log,
                 quotas,
-                workDemand,
-                costs);
+                workDemand);
         forwarder = new Forwarder(loop, settings, peers, gate, metrics, log);
-        ServiceLoads loads = new ServiceLoads(loop, peers, routeCosts, workDemand);
+        RouteCosts costs = new RouteCosts();
+        ServiceLoads loads = new ServiceLoads(loop, peers, costs, workDemand);
         entry = new EntryService(
                 loop,
                 settings,
--- a/mesh/src/main/java/io/cranberryarch/mesh/PeerService.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/PeerService.java
@@ -11,7 +11,6 @@
 import io.cranberryarch.wire.PeerStatusMessage;
 import io.cranberryarch.wire.PeersMessage;
 import io.cranberryarch.wire.PeersRequestMessage;
-import io.cranberryarch.wire.RouteCostsMessage;
 import io.cranberryarch.wire.RulesMessage;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -69,14 +68,12 @@
     private final EventLog log;
     private final QuotaService quotas;
     private final WorkDemand workDemand;
-    private final CostsService costs;
     private final Set<PeerLink> links = new LinkedHashSet<>();
     private TcpListener listener;
     private PeerInfo self;
     private PeerStatusMessage.Upstream toldUpstream = new PeerStatusMessage.Upstream("", "");
     private long upstreamChangedAtMs;
     private long statusAtMs;
-    private long demandAtMs;
     private long peersRequestAtMs = Long.MIN_VALUE;
     private boolean isFleetRead;
 
@@ -91,8 +88,7 @@
             RulesService rules,
             EventLog log,
             QuotaService quotas,
-            WorkDemand workDemand,
-            CostsService costs) {
+            WorkDemand workDemand) {
         this.loop = loop;
         this.self = self;
         this.incarnation = incarnation;
@@ -104,8 +100,6 @@
         this.log = log;
         this.quotas = quotas;
         this.workDemand = workDemand;
-        this.costs = costs;
-        costs.setBroadcast(this::broadcast);
     }
 
     /** Binds the port for peers and begins to keep the connections. */
@@ -155,21 +149,13 @@
     }
 
     void broadcastStatus() {
-        long nowMs = loop.nowMs();
-        statusAtMs = nowMs;
-        boolean isDemandDue = nowMs - demandAtMs >= toStatusIntervalMs();
-        if (isDemandDue) {
-            demandAtMs = nowMs;
-        }
-        broadcast(toChanges(isDemandDue ? workDemand.report(nowMs) : Map.of()));
-    }
-
-    private void broadcast(Message message) {
+        statusAtMs = loop.nowMs();
+        PeerStatusMessage status = toChanges();
         List<PeerLink> connected = new ArrayList<>();
         for (Peer peer : peers.getPeers()) {
             peer.getLink().filter(PeerLink::isConnected).ifPresent(connected::add);
         }
-        PeerLink.sendToAll(connected, message);
+        PeerLink.sendToAll(connected, status);
     }
 
     void onLinkUp(PeerLink link) {
@@ -181,8 +167,6 @@
             case PEER_HELLO -> onHello(link, (PeerHelloMessage) message);
             case PEER_STATUS -> link.getPeer().ifPresent(peer -> onStatus(peer, (PeerStatusMessage) message));
             case RULES_REQUEST -> rules.getDocument().ifPresent(document -> link.send(new RulesMessage(document)));
-            case ROUTE_COSTS_REQUEST -> costs.onRequest(link);
-            case ROUTE_COSTS -> costs.onCosts((RouteCostsMessage) message);
             case PEERS_REQUEST -> sendPeers(link);
             case PEERS -> onPeers((PeersMessage) message);
             case RULES -> rules.onDocument(((RulesMessage) message).document(), "peer");
@@ -261,7 +245,6 @@
                     + hello.incarnation());
         }
         askForPeers(link);
-        costs.onConnected(link);
     }
 
     /** Asks a node which others there are while the store cannot be read. */
@@ -320,14 +303,15 @@
     }
 
     /** Notes that all connected nodes are told what changed since the last status. */
-    private PeerStatusMessage toChanges(Map<String, Double> demand) {
+    private PeerStatusMessage toChanges() {
         PeerStatusMessage.Upstream own = toUpstream();
         if (!own.equals(toldUpstream)) {
             toldUpstream = own;
             upstreamChangedAtMs = loop.nowMs();
         }
         boolean isNamed = loop.nowMs() - upstreamChangedAtMs < UPSTREAM_NAMED_MS;
-        return toStatus(isNamed ? Optional.of(own) : Optional.empty(), demand, false, quotas.report());
+        return toStatus(
+                isNamed ? Optional.of(own) : Optional.empty(), workDemand.report(loop.nowMs()), false, quotas.report());
     }
 
     private PeerStatusMessage.Upstream toUpstream() {
--- a/wire/src/main/java/io/cranberryarch/wire/MessageType.java
+++ b/wire/src/main/java/io/cranberryarch/wire/MessageType.java
@@ -53,11 +53,7 @@
     /** Asks a node to which other nodes it is connected. */
     PEERS_REQUEST(56, PeersRequestMessage::read),
     /** The nodes to which the sender is connected. */
-    PEERS(57, PeersMessage::read),
-    /** Asks a node what it has learned of the costs of routes. */
-    ROUTE_COSTS_REQUEST(58, RouteCostsRequestMessage::read),
-    /** What the sender has learned of the costs of routes. */
-    ROUTE_COSTS(59, RouteCostsMessage::read);
+    PEERS(57, PeersMessage::read);
 
     private static final MessageType[] BY_CODE = new MessageType[64];
 
