Accounts count as hot from two and a half times their rate on

With many nodes the told demand of an account is too high, as each node tells it after a request, so that a burst of 1.8 times the usual passed the bound of 1.5.

--- a/decision/src/main/java/io/cranberryarch/decision/serving/AccountQuota.java
+++ b/decision/src/main/java/io/cranberryarch/decision/serving/AccountQuota.java
@@ -31,7 +31,7 @@
      * The demand, as a part of the rate, from which nodes borrow only their shares. Many nodes that borrow a few tokens
      * each between two reports would exceed the rate of an account that asks for much more.
      */
-    private static final double HOT_PART = 1.5;
+    private static final double HOT_PART = 2.5;
 
     /** Borrowed tokens after which the node reports at once. */
     private static final double REPORTED_AT_ONCE = 1;
