Settings accept numbers with all decimals, exponents and blank values

A small number may come with an exponent, and a bound that a deployment doesn't have is rendered blank.

--- a/mesh/src/main/java/io/cranberryarch/mesh/MeshSettings.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/MeshSettings.java
@@ -53,7 +53,7 @@
         int logLinesPerS) {
 
     private static final String NAME = "[A-Za-z0-9][A-Za-z0-9._-]{0,62}";
-    private static final String NUMBER = "\\d{1,9}(\\.\\d{1,9})?";
+    private static final double MAX_NUMBER = 999_999_999;
     private static final int MAX_LOG_LINES_PER_S = 100_000;
     private static final int MS_PER_S = 1_000;
 
@@ -82,23 +82,22 @@
                 ini.readAddress("listen", "control"),
                 ini.readAddress("listen", "metrics"),
                 ini.readAddress("upstream", "address"),
-                Math.round(readNumber(ini, "upstream", "report-interval-s", "1.5") * MS_PER_S),
+                Math.round(readNumber(ini, "upstream", "report-interval-s", 1.5) * MS_PER_S),
                 ini.readAddress("store", "address"),
                 ini.readAddresses("peers", "seeds"),
-                Math.round(readNumber(ini, "stop", "grace-s", "6") * MS_PER_S),
-                readNumber(ini, "repeats", "ratio", "0.2"),
-                readNumber(ini, "repeats", "slack", "50"),
-                Math.round(readNumber(ini, "rates", "window-s", "5") * MS_PER_S),
-                readNumber(ini, "rates", "excess-ratio", "0.1"),
-                readNumber(ini, "rates", "excess", "20"),
+                Math.round(readNumber(ini, "stop", "grace-s", 6) * MS_PER_S),
+                readNumber(ini, "repeats", "ratio", 0.2),
+                readNumber(ini, "repeats", "slack", 50),
+                Math.round(readNumber(ini, "rates", "window-s", 5) * MS_PER_S),
+                readNumber(ini, "rates", "excess-ratio", 0.1),
+                readNumber(ini, "rates", "excess", 20),
                 ini.readInt("log", "lines-per-s", Optional.of(50), 1, MAX_LOG_LINES_PER_S));
         ini.rejectUnknown();
         ini.throwFaults();
         return settings;
     }
 
-    private static double readNumber(IniFile ini, String section, String key, String fallback) {
-        String text = ini.readText(section, key, Optional.of(fallback), NUMBER);
-        return text.matches(NUMBER) ? Double.parseDouble(text) : 0;
+    private static double readNumber(IniFile ini, String section, String key, double fallback) {
+        return ini.readDecimal(section, key, Optional.of(fallback), MAX_NUMBER);
     }
 }
--- a/mesh/src/test/java/io/cranberryarch/mesh/MeshSettingsTest.java
+++ b/mesh/src/test/java/io/cranberryarch/mesh/MeshSettingsTest.java
@@ -59,4 +59,21 @@
         assertTrue(failure.getMessage().contains("lines-per-s"), failure.getMessage());
         assertTrue(failure.getMessage().contains("level"), failure.getMessage());
     }
+
+    @Test
+    void acceptsNumbersWithAllDecimalsAndExponentsOfThePlatform() throws Exception {
+        MeshSettings settings =
+                read("10.0.0.1:1", "[repeats]", "slack = 20.612244897959183", "ratio = 2e-1", "[rates]", "excess = ");
+        assertEquals(20.612244897959183, settings.repeatSlack());
+        assertEquals(0.2, settings.repeatRatio());
+        assertEquals(20, settings.quotaExcess());
+    }
+
+    @Test
+    void rejectsNumbersThatAreNegativeOrMalformedWithTheirLine() {
+        SettingsException failure = assertThrows(
+                SettingsException.class, () -> read("10.0.0.1:1", "[repeats]", "slack = -1", "ratio = 0.2x"));
+        assertEquals(2, failure.getFaults().size(), failure.getMessage());
+        assertTrue(failure.getMessage().contains("node.ini:16: [repeats] slack"), failure.getMessage());
+    }
 }
--- a/settings/src/main/java/io/cranberryarch/settings/IniFile.java
+++ b/settings/src/main/java/io/cranberryarch/settings/IniFile.java
@@ -31,6 +31,10 @@
 public final class IniFile {
 
     private static final int MAX_PORT = 65_535;
+
+    /** Platforms write numbers with all their decimals, and small ones with an exponent. */
+    private static final String DECIMAL = "\\d+(\\.\\d+)?([eE][+-]?\\d{1,3})?";
+
     private static final URI PLACEHOLDER_URI = URI.create("http://127.0.0.1");
 
     private final Path file;
@@ -270,6 +274,47 @@
         }
     }
 
+    /**
+     * Returns the sections of a kind, which are named {@code KIND NAME}.
+     *
+     * @param kind the first word of the section's title
+     * @return the names without the kind, in the order of the file
+     */
+    public List<String> findSections(String kind) {
+        List<String> names = new ArrayList<>();
+        for (String section : ini.getSections()) {
+            if (section != null && section.startsWith(kind + " ")) {
+                names.add(section.substring(kind.length() + 1));
+            }
+        }
+        return names;
+    }
+
+    /**
+     * Reads a decimal number that is not negative.
+     *
+     * @param section the section
+     * @param key the key
+     * @param fallback the value if none is set or the text is blank, or empty if the key is required
+     * @param max the maximum value
+     * @return the value; unspecified after a fault
+     */
+    public double readDecimal(String section, String key, Optional<Double> fallback, double max) {
+        // A template that renders an absent value leaves a blank one.
+        Optional<String> text = find(section, key).filter(value -> !value.isBlank());
+        if (text.isEmpty() && fallback.isPresent()) {
+            return fallback.get();
+        }
+        if (text.isPresent() && text.get().matches(DECIMAL)) {
+            double value = Double.parseDouble(text.get());
+            if (value <= max) {
+                return value;
+            }
+        }
+        addFault(section, key, "a decimal number from 0 to " + max);
+        return 0;
+    }
+
     /**
      * Adds a fault for a key.
      *
