Decisions move from the shell to decision.serving: overload, slots, outcome of a send

ServiceLoadTracker becomes OverloadDetector with a view of the fleet, the running and waiting requests of the gate become SlotScheduler, and whether a send may be repeated becomes SendOutcome. Randomness and time are passed in. No change of behaviour is meant.

--- a/mesh/src/main/java/io/cranberryarch/mesh/ServiceLoadTracker.java
+++ b/decision/src/main/java/io/cranberryarch/decision/serving/OverloadDetector.java
@@ -1,10 +1,5 @@
-package io.cranberryarch.mesh;
+package io.cranberryarch.decision.serving;
 
-import io.cranberryarch.decision.serving.LoadShedding;
-import io.cranberryarch.decision.serving.RouteCosts;
-import io.cranberryarch.decision.serving.WorkDemand;
-import io.cranberryarch.net.EventLoop;
-import io.cranberryarch.settings.serving.ServingRules;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -12,8 +7,15 @@
 import java.util.SortedMap;
 import java.util.TreeMap;
 
-/** Tracks the load of services as observed by this node, and decides which new call trees to refuse because of it. */
-final class ServiceLoadTracker {
+/**
+ * Tracks the load of services as observed by one node, and decides which new call trees to refuse because of it. Not
+ * thread-safe.
+ *
+ * <pre>
+ * detector.findOverload(new Tree("orders", "shop", 0, false), ranks, random.nextDouble(), nowMs);
+ * </pre>
+ */
+public final class OverloadDetector {
 
     /** The time constant of the moving average of load. Call trees reach deep services only after a delay. */
     private static final double LOAD_TIME_CONSTANT_MS = 250;
@@ -24,17 +26,22 @@
     /** How long the summed demand of the peers is cached; they report several times less often. */
     private static final long MAX_PEER_DEMAND_AGE_MS = 50;
 
-    private final EventLoop loop;
-    private final PeerDirectory peers;
+    private final FleetView fleet;
     private final RouteCosts costs;
     private final WorkDemand demand;
     private final Map<String, MovingAverage> averages = new HashMap<>();
     private final Map<String, SortedMap<Integer, Double>> peerDemand = new HashMap<>();
     private long peerDemandAtMs;
 
-    ServiceLoadTracker(EventLoop loop, PeerDirectory peers, RouteCosts costs, WorkDemand demand) {
-        this.loop = loop;
-        this.peers = peers;
+    /**
+     * Creates a detector.
+     *
+     * @param fleet the instances and nodes known to this node
+     * @param costs the costs of routes learned by this node
+     * @param demand the demand of new requests at this node
+     */
+    public OverloadDetector(FleetView fleet, RouteCosts costs, WorkDemand demand) {
+        this.fleet = fleet;
         this.costs = costs;
         this.demand = demand;
     }
@@ -42,28 +49,26 @@
     /**
      * Decides whether to refuse a new call tree, and records its expected demand.
      *
-     * @param route the name of the route
-     * @param service the service that the request is sent to
-     * @param rank the rank of the request, 0 for the most important
-     * @param isReturning whether the request is a retry that honored the Retry-After time of an earlier refusal
-     * @param rules the rules in force
+     * @param tree the request at the root of the call tree
+     * @param ranks all ranks in use, the most important first
+     * @param draw a random number from 0 to 1
+     * @param nowMs the time in milliseconds
      * @return the overloaded service, or empty if the request is admitted
      */
-    Optional<Overload> findOverload(String route, String service, int rank, boolean isReturning, ServingRules rules) {
-        List<Integer> ranks = rules.getRanks();
-        int position = Math.max(0, ranks.indexOf(rank));
-        Map<String, Double> cost = costs.get(route);
-        demand.add(rank, cost, loop.nowMs());
+    public Optional<Overload> findOverload(Tree tree, List<Integer> ranks, double draw, long nowMs) {
+        int position = Math.max(0, ranks.indexOf(tree.rank()));
+        Map<String, Double> cost = costs.get(tree.route());
+        demand.add(tree.rank(), cost, nowMs);
         // Halving the draw of a returning request doubles its probability of falling within the served share.
-        double draw = isReturning ? Math.random() / 2 : Math.random();
+        double effectiveDraw = tree.isReturning() ? draw / 2 : draw;
         for (String usedService : cost.keySet()) {
-            if (!costs.isUsed(route, usedService) && !usedService.equals(service)) {
+            if (!costs.isUsed(tree.route(), usedService) && !usedService.equals(tree.service())) {
                 continue;
             }
-            double load = toLoad(usedService);
-            double refusedRatio = LoadShedding.toRefusedRatio(load, position, ranks.size(), isReturning);
-            double servedRatio = toServedRatio(usedService, rank);
-            if (draw < refusedRatio || draw >= servedRatio) {
+            double load = toLoad(usedService, nowMs);
+            double refusedRatio = LoadShedding.toRefusedRatio(load, position, ranks.size(), tree.isReturning());
+            double servedRatio = toServedRatio(usedService, tree.rank(), nowMs);
+            if (effectiveDraw < refusedRatio || effectiveDraw >= servedRatio) {
                 return Optional.of(new Overload(usedService, load, servedRatio));
             }
         }
@@ -71,19 +76,13 @@
     }
 
     /** Returns the ratio of requests of a rank that a service has capacity for, given the demand at all nodes. */
-    private double toServedRatio(String service, int rank) {
-        long nowMs = loop.nowMs();
+    private double toServedRatio(String service, int rank, long nowMs) {
         SortedMap<Integer, Double> slots = demand.toSlots(service, nowMs);
         sumPeerDemand(service, nowMs).forEach((peerRank, peerSlots) -> slots.merge(peerRank, peerSlots, Double::sum));
-        double capacity = 0;
-        PeerDirectory.Candidates candidates = peers.getCandidates(service);
-        for (List<Peer> candidateGroup : List.of(candidates.sameZone(), candidates.otherZones())) {
-            for (Peer candidate : candidateGroup) {
-                capacity += candidate.getLoad().toCapacity(nowMs);
-            }
-        }
+        double[] capacity = new double[1];
+        fleet.forEachInstance(service, load -> capacity[0] += load.toCapacity(nowMs));
         // Without a reachable instance the capacity is 0, as the call tree would run up to this service and fail.
-        return WorkDemand.toServedRatio(slots, rank, USABLE_CAPACITY_RATIO * capacity);
+        return WorkDemand.toServedRatio(slots, rank, USABLE_CAPACITY_RATIO * capacity[0]);
     }
 
     private SortedMap<Integer, Double> sumPeerDemand(String service, long nowMs) {
@@ -93,39 +92,39 @@
         }
         return peerDemand.computeIfAbsent(service, unused -> {
             SortedMap<Integer, Double> slots = new TreeMap<>();
-            for (Peer peer : peers.getPeers()) {
-                if (peer.getLink().isPresent()) {
-                    WorkDemand.addReported(peer.getWorkDemand(), service, slots);
-                }
-            }
+            fleet.forEachPeerDemand(reported -> WorkDemand.addReported(reported, service, slots));
             return slots;
         });
     }
 
     /** Returns the averaged load of a service: requests in flight divided by the sum of its instances' limits. */
-    double toLoad(String service) {
-        long nowMs = loop.nowMs();
+    private double toLoad(String service, long nowMs) {
         MovingAverage average = averages.computeIfAbsent(service, unused -> new MovingAverage());
         if (nowMs == average.atMs) {
             return average.load;
         }
-        peers.refreshLocalLoad();
-        PeerDirectory.Candidates candidates = peers.getCandidates(service);
-        double inFlight = 0;
-        double limit = 0;
-        for (List<Peer> candidateGroup : List.of(candidates.sameZone(), candidates.otherZones())) {
-            for (Peer candidate : candidateGroup) {
-                inFlight += candidate.getLoad().getInFlight();
-                limit += candidate.getLoad().getLimit(nowMs);
-            }
-        }
-        double load = limit > 0 ? inFlight / limit : 0;
+        double[] sums = new double[2];
+        fleet.forEachInstance(service, instance -> {
+            sums[0] += instance.getInFlight();
+            sums[1] += instance.getLimit(nowMs);
+        });
+        double load = sums[1] > 0 ? sums[0] / sums[1] : 0;
         double weight = average.atMs == 0 ? 1 : 1 - Math.exp(-(nowMs - average.atMs) / LOAD_TIME_CONSTANT_MS);
         average.load += weight * (load - average.load);
         average.atMs = nowMs;
         return average.load;
     }
 
+    /**
+     * A request at the root of a call tree.
+     *
+     * @param route the name of its route
+     * @param service the service that it is sent to
+     * @param rank its rank, 0 for the most important
+     * @param isReturning whether it is a retry that honored the Retry-After time of an earlier refusal
+     */
+    public record Tree(String route, String service, int rank, boolean isReturning) {}
+
     /**
      * An overloaded service.
      *
@@ -133,7 +132,7 @@
      * @param load the load, 1 if all slots are in use
      * @param servedRatio the ratio of requests of the rank that the service has capacity for, from 0 to 1
      */
-    record Overload(String service, double load, double servedRatio) {}
+    public record Overload(String service, double load, double servedRatio) {}
 
     /** An exponential moving average. */
     private static final class MovingAverage {
--- /dev/null
+++ b/decision/src/main/java/io/cranberryarch/decision/serving/SlotScheduler.java
@@ -0,0 +1,137 @@
+package io.cranberryarch.decision.serving;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * Decides which requests of one upstream run, which wait for a slot, and which cannot run in time and are refused. Not
+ * thread-safe.
+ *
+ * <pre>
+ * switch (scheduler.offer(run, rank, deadlineMs, limit, nowMs)) {
+ *     case START -&gt; run.start();
+ *     case WAIT -&gt; scheduleExpiryCheck();
+ *     case REFUSE -&gt; run.refuse();
+ * }
+ * </pre>
+ *
+ * @param <T> the type of a request
+ */
+public final class SlotScheduler<T> {
+
+    /** The weight of the newest run in the moving average of run durations. */
+    private static final double DURATION_SMOOTHING_FACTOR = 0.02;
+
+    private static final double INITIAL_DURATION_MS = 50;
+
+    private final RankQueue<T> waiting = new RankQueue<>();
+    private final Set<T> running = new HashSet<>();
+    private double meanDurationMs = INITIAL_DURATION_MS;
+
+    /** What to do with a new request. */
+    public enum Decision {
+        /** The request runs now and occupies a slot. */
+        START,
+        /** The request waits; {@link #pollNext} returns it once a slot is free. */
+        WAIT,
+        /** The request cannot run in time. */
+        REFUSE
+    }
+
+    /**
+     * Decides what to do with a new request.
+     *
+     * @param item the request
+     * @param rank its importance, 0 for the most important
+     * @param deadlineMs the time at which its answer is due, in milliseconds
+     * @param limit the number of requests that may run concurrently
+     * @param nowMs the time in milliseconds
+     * @return the decision
+     */
+    public Decision offer(T item, int rank, long deadlineMs, int limit, long nowMs) {
+        if (running.size() < limit) {
+            running.add(item);
+            return Decision.START;
+        }
+        double waitMs = (waiting.countAhead(rank) + 1) * meanDurationMs / limit;
+        if (waitMs + meanDurationMs > deadlineMs - nowMs) {
+            return Decision.REFUSE;
+        }
+        waiting.add(item, rank, deadlineMs - Math.round(meanDurationMs));
+        return Decision.WAIT;
+    }
+
+    /**
+     * Removes the next waiting request if a slot is free; it then runs.
+     *
+     * @param limit the number of requests that may run concurrently
+     * @return the request, or empty if none waits or no slot is free
+     */
+    public Optional<T> pollNext(int limit) {
+        if (running.size() >= limit) {
+            return Optional.empty();
+        }
+        Optional<T> next = waiting.poll();
+        next.ifPresent(running::add);
+        return next;
+    }
+
+    /**
+     * Removes the waiting requests that can no longer end in time.
+     *
+     * @param nowMs the time in milliseconds
+     * @return the removed requests
+     */
+    public List<T> removeExpired(long nowMs) {
+        return waiting.removeExpired(nowMs);
+    }
+
+    /**
+     * Removes a request that waits.
+     *
+     * @param item the request
+     * @return whether it was waiting
+     */
+    public boolean removeWaiting(T item) {
+        return waiting.remove(item);
+    }
+
+    /**
+     * Frees the slot of a request.
+     *
+     * @param item the request
+     * @return whether it was running
+     */
+    public boolean release(T item) {
+        return running.remove(item);
+    }
+
+    /**
+     * Records how long a completed run took.
+     *
+     * @param durationMs the time from its start to its answer, in milliseconds
+     */
+    public void recordDuration(double durationMs) {
+        meanDurationMs += DURATION_SMOOTHING_FACTOR * (durationMs - meanDurationMs);
+    }
+
+    /**
+     * Returns the number of running requests.
+     *
+     * @return the number of requests
+     */
+    public int countRunning() {
+        return running.size();
+    }
+
+    /**
+     * Returns the number of waiting requests.
+     *
+     * @return the number of requests
+     */
+    public int countWaiting() {
+        return waiting.getSize();
+    }
+}
--- a/experiment/src/main/java/io/cranberryarch/experiment/Simulation.java
+++ b/experiment/src/main/java/io/cranberryarch/experiment/Simulation.java
@@ -12,7 +12,7 @@
  * simulation.run(10_000_000);
  * </pre>
  */
-final class Simulation {
+public final class Simulation {
 
     private static final long MICROS_PER_MS = 1_000;
 
--- a/mesh/src/main/java/io/cranberryarch/mesh/EntryAdmission.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/EntryAdmission.java
@@ -1,5 +1,6 @@
 package io.cranberryarch.mesh;
 
+import io.cranberryarch.decision.serving.OverloadDetector;
 import io.cranberryarch.decision.serving.RetryAfterTracker;
 import io.cranberryarch.net.HttpRequestMessage;
 import io.cranberryarch.settings.serving.AccountRule;
@@ -18,11 +19,11 @@
 
     private static final long MAX_RETRY_AFTER_MS = 1_500;
 
-    private final ServiceLoadTracker loads;
+    private final OverloadDetector detector;
     private final RetryAfterTracker retryAfterTracker = new RetryAfterTracker();
 
-    EntryAdmission(ServiceLoadTracker loads) {
-        this.loads = loads;
+    EntryAdmission(OverloadDetector detector) {
+        this.detector = detector;
     }
 
     /**
@@ -47,8 +48,9 @@
             long nowMs) {
         long fingerprint = toRequestFingerprint(account, request);
         boolean isReturning = retryAfterTracker.consumeHonoredRefusal(fingerprint, nowMs);
-        Optional<ServiceLoadTracker.Overload> overload =
-                loads.findOverload(route.name(), service, rank, isReturning, rules);
+        OverloadDetector.Tree tree = new OverloadDetector.Tree(route.name(), service, rank, isReturning);
+        Optional<OverloadDetector.Overload> overload =
+                detector.findOverload(tree, rules.getRanks(), Math.random(), nowMs);
         if (overload.isEmpty()) {
             return Optional.empty();
         }
@@ -80,7 +82,7 @@
      * @param isReturning whether the request is a retry that honored the Retry-After time of an earlier refusal
      * @param retryAfterMs the time after which the caller should retry, in milliseconds
      */
-    record Rejection(ServiceLoadTracker.Overload overload, int rank, boolean isReturning, long retryAfterMs) {
+    record Rejection(OverloadDetector.Overload overload, int rank, boolean isReturning, long retryAfterMs) {
 
         String getReason() {
             return "overload-of-" + overload.service();
--- a/mesh/src/main/java/io/cranberryarch/mesh/Forwarder.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/Forwarder.java
@@ -6,6 +6,7 @@
 import io.cranberryarch.decision.serving.InstanceSelector;
 import io.cranberryarch.decision.serving.LatencyEstimate;
 import io.cranberryarch.decision.serving.RepeatBudget;
+import io.cranberryarch.decision.serving.SendOutcome;
 import io.cranberryarch.net.EventLoop;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -217,13 +218,14 @@
             } else {
                 mayHaveRun = true;
             }
-            if (answer.isAnswered() && answer.status() < MIN_SERVER_ERROR_STATUS) {
+            SendOutcome outcome = toOutcome(answer);
+            if (outcome == SendOutcome.SERVED) {
                 latency.record(
                         (double) (loop.nowMs() - startMs), answer.slotTimesMs().size() <= 1);
             } else if (!activeAttempts.isEmpty()) {
                 // Another attempt may still succeed.
                 return;
-            } else if (mayRepeat(answer)) {
+            } else if (mayRepeat(outcome)) {
                 logRepeat(peer.getInfo().node() + ":" + toReason(answer), answer.execution());
                 sendNext();
                 return;
@@ -249,17 +251,11 @@
             return isAllowed;
         }
 
-        private boolean mayRepeat(ForwardedAnswer answer) {
-            boolean isSuccess = answer.isAnswered() && answer.status() < MIN_SERVER_ERROR_STATUS;
-            boolean isSafe = isIdempotent || answer.execution() == Execution.NOT_RUN;
-            if (isSuccess || !isSafe || deadlineMs <= loop.nowMs() || !hasOther()) {
+        private boolean mayRepeat(SendOutcome outcome) {
+            if (!outcome.isRepeatable(isIdempotent, request.isNested()) || deadlineMs <= loop.nowMs() || !hasOther()) {
                 return false;
             }
-            if (answer.isAnswered() && !request.isNested()) {
-                // A failed run at the root has used the work of its whole call tree; a repeat is left to the caller.
-                return false;
-            }
-            if (isRefusedBeforeUpstream(answer)) {
+            if (!outcome.isLimitedByBudget()) {
                 redirectCount++;
                 return redirectCount <= MAX_REDIRECTS;
             }
@@ -288,11 +284,16 @@
         return answer.isAnswered() ? "status-" + answer.status() : answer.reason();
     }
 
-    /** Returns whether a request was refused before the upstream received it. */
-    private static boolean isRefusedBeforeUpstream(ForwardedAnswer answer) {
-        return answer.execution() == Execution.NOT_RUN
-                && !answer.reason().equals("rejected-by-upstream")
-                && !answer.reason().equals("upstream-replaced");
+    private static SendOutcome toOutcome(ForwardedAnswer answer) {
+        if (answer.isAnswered()) {
+            return answer.status() < MIN_SERVER_ERROR_STATUS ? SendOutcome.SERVED : SendOutcome.FAILED;
+        }
+        if (answer.execution() != Execution.NOT_RUN) {
+            return SendOutcome.LOST;
+        }
+        boolean isRejected = answer.reason().equals("rejected-by-upstream")
+                || answer.reason().equals("upstream-replaced");
+        return isRejected ? SendOutcome.REJECTED : SendOutcome.REFUSED;
     }
 
     private static boolean isInstanceFailure(ForwardedAnswer answer) {
--- a/mesh/src/main/java/io/cranberryarch/mesh/Gate.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/Gate.java
@@ -5,8 +5,8 @@
 import io.cranberryarch.context.ForwardedRequest;
 import io.cranberryarch.context.HeaderField;
 import io.cranberryarch.decision.serving.FailureRatio;
-import io.cranberryarch.decision.serving.RankQueue;
 import io.cranberryarch.decision.serving.RunRegistry;
+import io.cranberryarch.decision.serving.SlotScheduler;
 import io.cranberryarch.net.EventLoop;
 import io.cranberryarch.net.HttpClientConnection;
 import io.cranberryarch.net.HttpClientPool;
@@ -16,7 +16,6 @@
 import io.cranberryarch.net.HttpResponseMessage;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -40,26 +39,20 @@
 
     private static final int MIN_SERVER_ERROR_STATUS = 500;
 
-    /** The weight of the newest run in the moving average of run durations. */
-    private static final double DURATION_SMOOTHING_FACTOR = 0.02;
-
     /** How long after its last run, or after the start of the node, the upstream may still make nested calls. */
     private static final long NESTED_CALL_WINDOW_MS = 6_000;
 
-    private static final double INITIAL_DURATION_MS = 50;
     private static final long EXPIRY_CHECK_INTERVAL_MS = 25;
 
     private final EventLoop loop;
     private final HeaderNames names;
     private final EventLog log;
     private final HttpClientPool connections;
-    private final RankQueue<Run> waiting = new RankQueue<>();
+    private final SlotScheduler<Run> scheduler = new SlotScheduler<>();
     private final RunRegistry<Run> runRegistry = new RunRegistry<>();
-    private final Set<Run> running = new HashSet<>();
     private final FailureRatio failures = new FailureRatio(FAILURE_SMOOTHING_FACTOR, FAILURE_HALF_LIFE_MS);
     private final UpstreamState upstream;
     private final Set<String> echoedHeaders;
-    private double meanDurationMs = INITIAL_DURATION_MS;
     private long lastRunEndedAtMs;
     private boolean isExpiryCheckScheduled;
 
@@ -87,11 +80,10 @@
             run.finish(fail(Execution.NOT_RUN, refusal.get()));
             return () -> {};
         }
-        if (running.size() < getLimit()) {
-            run.start();
-        } else {
-            waiting.add(run, request.rank(), run.deadlineMs - Math.round(meanDurationMs));
-            scheduleExpiryCheck();
+        switch (scheduler.offer(run, request.rank(), run.deadlineMs, getLimit(), loop.nowMs())) {
+            case START -> run.start();
+            case WAIT -> scheduleExpiryCheck();
+            default -> run.finish(fail(Execution.NOT_RUN, "overloaded"));
         }
         return run::cancel;
     }
@@ -108,7 +100,7 @@
 
     /** Returns whether the upstream may be running a request, sent by this node or before this node started. */
     boolean isActive() {
-        return !running.isEmpty() || loop.nowMs() - lastRunEndedAtMs < NESTED_CALL_WINDOW_MS;
+        return scheduler.countRunning() > 0 || loop.nowMs() - lastRunEndedAtMs < NESTED_CALL_WINDOW_MS;
     }
 
     int getLimit() {
@@ -122,11 +114,11 @@
     }
 
     int countInFlight() {
-        return running.size() + waiting.getSize();
+        return scheduler.countRunning() + scheduler.countWaiting();
     }
 
     int countWaiting() {
-        return waiting.getSize();
+        return scheduler.countWaiting();
     }
 
     private Optional<String> findRefusal(Run run) {
@@ -136,15 +128,7 @@
         if (!upstream.getService().equals(run.request.service())) {
             return Optional.of("wrong-service");
         }
-        if (upstream.isLeaving()) {
-            return Optional.of("leaving");
-        }
-        if (running.size() < getLimit()) {
-            return Optional.empty();
-        }
-        double waitMs = (waiting.countAhead(run.request.rank()) + 1) * meanDurationMs / getLimit();
-        boolean isTooLate = waitMs + meanDurationMs > run.request.timeoutMs();
-        return isTooLate ? Optional.of("overloaded") : Optional.empty();
+        return upstream.isLeaving() ? Optional.of("leaving") : Optional.empty();
     }
 
     private ForwardedAnswer fail(Execution execution, String reason) {
@@ -154,7 +138,7 @@
 
     /** Schedules an expiry check if requests are waiting, so that an idle node is not woken up. */
     private void scheduleExpiryCheck() {
-        if (!isExpiryCheckScheduled && waiting.getSize() > 0) {
+        if (!isExpiryCheckScheduled && scheduler.countWaiting() > 0) {
             isExpiryCheckScheduled = true;
             loop.schedule(EXPIRY_CHECK_INTERVAL_MS, this::refuseExpired);
         }
@@ -162,23 +146,23 @@
 
     private void refuseExpired() {
         isExpiryCheckScheduled = false;
-        for (Run run : waiting.removeExpired(loop.nowMs())) {
+        for (Run run : scheduler.removeExpired(loop.nowMs())) {
             run.finish(fail(Execution.NOT_RUN, "overloaded"));
         }
         scheduleExpiryCheck();
     }
 
     private void startNext() {
-        while (running.size() < getLimit()) {
-            Optional<Run> next = waiting.poll();
-            if (next.isEmpty()) {
-                return;
-            }
+        Optional<Run> next = scheduler.pollNext(getLimit());
+        while (next.isPresent()) {
+            Run run = next.get();
             if (upstream.isLeaving() || !upstream.isKnown()) {
-                next.get().finish(fail(Execution.NOT_RUN, "leaving"));
+                scheduler.release(run);
+                run.finish(fail(Execution.NOT_RUN, "leaving"));
             } else {
-                next.get().start();
+                run.start();
             }
+            next = scheduler.pollNext(getLimit());
         }
     }
 
@@ -216,7 +200,6 @@
         }
 
         private void start() {
-            running.add(this);
             startedAtMs = loop.nowMs();
             deadlineMs = runRegistry.add(this, deadlineMs);
             long leftMs = Math.max(1, deadlineMs - startedAtMs);
@@ -257,7 +240,7 @@
             // A failure after a failed nested call is not attributed to this upstream.
             failures.record(response.status() >= MIN_SERVER_ERROR_STATUS && !hasFailedNestedCall, loop.nowMs());
             double tookMs = loop.nowMs() - startedAtMs;
-            meanDurationMs += DURATION_SMOOTHING_FACTOR * (tookMs - meanDurationMs);
+            scheduler.recordDuration(tookMs);
             slotTimesMs.merge(request.service(), tookMs, Double::sum);
             List<HeaderField> headers = HttpHeaders.toEndToEnd(response.headers(), echoedHeaders);
             end(new ForwardedAnswer(
@@ -295,7 +278,7 @@
                 return;
             }
             isFinished = true;
-            if (!waiting.remove(this)) {
+            if (!scheduler.removeWaiting(this)) {
                 connection.ifPresent(HttpClientConnection::cancel);
                 release();
             }
@@ -308,7 +291,7 @@
 
         private void release() {
             timeout.ifPresent(EventLoop.Timer::cancel);
-            if (running.remove(this)) {
+            if (scheduler.release(this)) {
                 runRegistry.remove(deadlineMs);
                 lastRunEndedAtMs = loop.nowMs();
                 startNext();
@@ -324,7 +307,8 @@
                 log.info("event=gate-failure request=" + request.requestId() + " service=" + request.service()
                         + " instance=" + upstream.getInstance() + " execution="
                         + answer.execution().toText() + " reason=" + answer.reason() + " rank=" + request.rank()
-                        + " running=" + running.size() + " waiting=" + waiting.getSize() + " limit=" + answer.limit()
+                        + " running=" + scheduler.countRunning() + " waiting=" + scheduler.countWaiting() + " limit="
+                        + answer.limit()
                         + " left-ms=" + (deadlineMs - loop.nowMs()));
             }
             callback.accept(answer);
--- a/mesh/src/main/java/io/cranberryarch/mesh/MeshNode.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/MeshNode.java
@@ -4,6 +4,7 @@
 import io.cranberryarch.context.HeaderField;
 import io.cranberryarch.context.PeerInfo;
 import io.cranberryarch.counts.CountsSource;
+import io.cranberryarch.decision.serving.OverloadDetector;
 import io.cranberryarch.decision.serving.RouteCosts;
 import io.cranberryarch.decision.serving.WorkDemand;
 import io.cranberryarch.net.ByteBudget;
@@ -138,7 +139,7 @@
                 workDemand);
         forwarder = new Forwarder(loop, settings, peers, gate, metrics, log);
         RouteCosts costs = new RouteCosts();
-        ServiceLoadTracker loads = new ServiceLoadTracker(loop, peers, costs, workDemand);
+        OverloadDetector detector = new OverloadDetector(peers, costs, workDemand);
         entry = new EntryService(
                 loop,
                 settings,
@@ -147,7 +148,7 @@
                 gate,
                 forwarder,
                 quotas,
-                new EntryAdmission(loads),
+                new EntryAdmission(detector),
                 costs,
                 metrics,
                 counts,
--- a/mesh/src/main/java/io/cranberryarch/mesh/PeerDirectory.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/PeerDirectory.java
@@ -1,6 +1,8 @@
 package io.cranberryarch.mesh;
 
 import io.cranberryarch.context.PeerInfo;
+import io.cranberryarch.decision.serving.FleetView;
+import io.cranberryarch.decision.serving.InstanceLoad;
 import io.cranberryarch.net.EventLoop;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -9,9 +11,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Consumer;
 
 /** Holds the other nodes of the fleet and the candidates for requests of each service. */
-final class PeerDirectory {
+final class PeerDirectory implements FleetView {
 
     private final EventLoop loop;
     private final Gate gate;
@@ -48,6 +51,27 @@
         return candidates;
     }
 
+    @Override
+    public void forEachInstance(String service, Consumer<InstanceLoad> consumer) {
+        refreshLocalLoad();
+        Candidates candidates = getCandidates(service);
+        for (Peer candidate : candidates.sameZone()) {
+            consumer.accept(candidate.getLoad());
+        }
+        for (Peer candidate : candidates.otherZones()) {
+            consumer.accept(candidate.getLoad());
+        }
+    }
+
+    @Override
+    public void forEachPeerDemand(Consumer<Map<String, Double>> consumer) {
+        for (Peer peer : peers.values()) {
+            if (peer.getLink().isPresent()) {
+                consumer.accept(peer.getWorkDemand());
+            }
+        }
+    }
+
     /** Invalidates the cached candidates, as an instance may have become usable or unusable. */
     void invalidateCandidates() {
         candidatesByService = new HashMap<>();
