--- a/decision/src/main/java/io/cranberryarch/decision/serving/OverloadDetector.java
+++ b/decision/src/main/java/io/cranberryarch/decision/serving/OverloadDetector.java
@@ -68,8 +68,9 @@
             double load = toLoad(usedService, nowMs);
             double refusedRatio = LoadShedding.toRefusedRatio(load, position, ranks.size(), tree.isReturning());
             double servedRatio = toServedRatio(usedService, tree.rank(), nowMs);
-            if (effectiveDraw < refusedRatio || effectiveDraw >= servedRatio) {
-                return Optional.of(new Overload(usedService, load, servedRatio));
+            boolean isBeyondDemand = effectiveDraw >= servedRatio;
+            if (effectiveDraw < refusedRatio || isBeyondDemand) {
+                return Optional.of(new Overload(usedService, load, servedRatio, isBeyondDemand));
             }
         }
         return Optional.empty();
@@ -131,8 +132,9 @@
      * @param service the name of the service
      * @param load the load, 1 if all slots are in use
      * @param servedRatio the ratio of requests of the rank that the service has capacity for, from 0 to 1
+     * @param isByDemand whether the request is beyond the served ratio, rather than refused for the load alone
      */
-    public record Overload(String service, double load, double servedRatio) {}
+    public record Overload(String service, double load, double servedRatio, boolean isByDemand) {}
 
     /** An exponential moving average. */
     private static final class MovingAverage {
--- a/experiment/src/main/java/io/cranberryarch/experiment/ExperimentCommand.java
+++ b/experiment/src/main/java/io/cranberryarch/experiment/ExperimentCommand.java
@@ -1,5 +1,6 @@
 package io.cranberryarch.experiment;
 
+import io.cranberryarch.experiment.serving.RunCommand;
 import io.cranberryarch.settings.Priority;
 import java.util.List;
 import java.util.OptionalLong;
@@ -10,6 +11,8 @@
 /** Compares policies in a model of call graphs under load and prints the results. */
 @Command(
         name = "experiment",
+        mixinStandardHelpOptions = true,
+        subcommands = RunCommand.class,
         description = "Runs a small model of call graphs under load and compares policies; no process is contacted.")
 public final class ExperimentCommand implements Callable<Integer> {
 
--- a/experiment/src/main/java/io/cranberryarch/experiment/Simulation.java
+++ b/experiment/src/main/java/io/cranberryarch/experiment/Simulation.java
@@ -30,15 +30,31 @@
     private long nowMicros;
     private long nextOrder;
 
-    Simulation(long seed) {
+    /**
+     * Creates a simulation at time 0.
+     *
+     * @param seed the seed of the random numbers
+     */
+    public Simulation(long seed) {
         this.random = new SplittableRandom(seed);
     }
 
-    void after(long delayMicros, Runnable action) {
+    /**
+     * Schedules an action; actions at the same time run in the order in which they were scheduled.
+     *
+     * @param delayMicros the delay in microseconds, below 0 for none
+     * @param action the action, not {@code null}
+     */
+    public void after(long delayMicros, Runnable action) {
         events.add(new Event(nowMicros + Math.max(0, delayMicros), nextOrder++, action));
     }
 
-    void run(long untilMicros) {
+    /**
+     * Runs the scheduled actions up to a time.
+     *
+     * @param untilMicros the time in microseconds, inclusive
+     */
+    public void run(long untilMicros) {
         while (!events.isEmpty() && events.peek().atMicros <= untilMicros) {
             Event event = events.poll();
             nowMicros = event.atMicros;
@@ -50,11 +66,21 @@
         return nowMicros;
     }
 
-    long nowMs() {
+    /**
+     * Returns the simulated time.
+     *
+     * @return the time in milliseconds, rounded down
+     */
+    public long nowMs() {
         return nowMicros / MICROS_PER_MS;
     }
 
-    SplittableRandom random() {
+    /**
+     * Returns the source of random numbers.
+     *
+     * @return the source, seeded at creation
+     */
+    public SplittableRandom random() {
         return random;
     }
 
