Repeats go to calls whose loss wastes most; a run is not repeated for a call that its service failed

Now such a failure is final above the call's own node (a lost answer or an unreachable service still is repeated elsewhere), the first calls of a run reserve half of the accumulated repeats for the later ones, and 0.9 of the ratio is used, accumulated over 1 s instead of 2 s.

--- a/context/src/main/java/io/cranberryarch/context/ForwardedAnswer.java
+++ b/context/src/main/java/io/cranberryarch/context/ForwardedAnswer.java
@@ -15,6 +15,7 @@
  * @param limit the maximum number of requests that the instance runs concurrently
  * @param inFlight the number of requests that run or wait at the instance
  * @param upstreamFailureRatio the ratio of requests that fail at the upstream itself, from 0 to 1
+ * @param isNestedCallFailed whether a nested call failed because of the service that it was sent to
  */
 @SuppressWarnings("ArrayRecordComponent")
 public record ForwardedAnswer(
@@ -26,7 +27,8 @@
         Map<String, Double> slotTimesMs,
         int limit,
         int inFlight,
-        double upstreamFailureRatio) {
+        double upstreamFailureRatio,
+        boolean isNestedCallFailed) {
 
     private static final byte[] NO_BODY = new byte[0];
 
@@ -54,7 +56,7 @@
     public static ForwardedAnswer ofFailure(
             Execution execution, String reason, int limit, int inFlight, double upstreamFailureRatio) {
         return new ForwardedAnswer(
-                execution, reason, 0, List.of(), NO_BODY, Map.of(), limit, inFlight, upstreamFailureRatio);
+                execution, reason, 0, List.of(), NO_BODY, Map.of(), limit, inFlight, upstreamFailureRatio, false);
     }
 
     /**
@@ -74,6 +76,15 @@
      */
     public ForwardedAnswer withHeaders(List<HeaderField> newHeaders) {
         return new ForwardedAnswer(
-                execution, reason, status, newHeaders, body, slotTimesMs, limit, inFlight, upstreamFailureRatio);
+                execution,
+                reason,
+                status,
+                newHeaders,
+                body,
+                slotTimesMs,
+                limit,
+                inFlight,
+                upstreamFailureRatio,
+                isNestedCallFailed);
     }
 }
--- a/decision/src/main/java/io/cranberryarch/decision/serving/RepeatBudget.java
+++ b/decision/src/main/java/io/cranberryarch/decision/serving/RepeatBudget.java
@@ -7,17 +7,25 @@
 public final class RepeatBudget {
 
     /** The usable part of the allowed ratio; the rest covers repeats of other nodes that this node cannot observe. */
-    private static final double USABLE_BUDGET_RATIO = 0.6;
+    private static final double USABLE_BUDGET_RATIO = 0.9;
 
     /** The usable part of the allowance that the fleet shares. */
     private static final double USABLE_SLACK_RATIO = 0.5;
 
     /** The time over which earned repeats accumulate, well below the window over which the ratio is evaluated. */
-    private static final double MAX_ACCUMULATION_MS = 2_000;
+    private static final double MAX_ACCUMULATION_MS = 1_000;
 
     /** The ratio of the accumulated repeats that each rank reserves for the more important ones. */
     private static final double RESERVED_RATIO_PER_RANK = 0.25;
 
+    /**
+     * The ratio of the accumulated repeats that the first nested call of a run reserves for the later ones, whose
+     * failure would waste the calls before them.
+     */
+    private static final double RESERVED_RATIO_FOR_PROGRESS = 0.5;
+
+    private static final double MAX_RESERVED_RATIO = 0.75;
+
     private static final double MS_PER_S = 1_000;
 
     private final double ratio;
@@ -68,14 +76,17 @@
      *
      * @param nodes the number of nodes in the fleet
      * @param rank the importance of the request, 0 for the most important
+     * @param progress how much of the run that makes the call is done, see {@link #toProgress}; 1 for a request that is
+     *     not nested
      * @param nowMs the time in milliseconds
      * @return whether it is allowed
      */
-    public boolean tryRepeat(int nodes, int rank, long nowMs) {
+    public boolean tryRepeat(int nodes, int rank, double progress, long nowMs) {
         double maxTokens = toMaxTokens(nodes, nowMs);
         tokens = Math.min(maxTokens, getTokens(nodes));
         isStarted = true;
-        double reserved = Math.min(0.75, RESERVED_RATIO_PER_RANK * rank) * (maxTokens - 1);
+        double reservedRatio = RESERVED_RATIO_PER_RANK * rank + RESERVED_RATIO_FOR_PROGRESS * (1 - progress);
+        double reserved = Math.min(MAX_RESERVED_RATIO, reservedRatio) * (maxTokens - 1);
         if (tokens < 1 + reserved) {
             return false;
         }
@@ -83,6 +94,17 @@
         return true;
     }
 
+    /**
+     * Estimates how much of a run is done from the nested calls that it has completed, as the number of its calls is
+     * not known in advance.
+     *
+     * @param servedCalls the number of nested calls that succeeded
+     * @return a ratio, 0 for none and close to 1 for many
+     */
+    public static double toProgress(int servedCalls) {
+        return 1 - 1.0 / (1 + servedCalls);
+    }
+
     /**
      * Returns the remaining repeats.
      *
--- a/decision/src/main/java/io/cranberryarch/decision/serving/SendOutcome.java
+++ b/decision/src/main/java/io/cranberryarch/decision/serving/SendOutcome.java
@@ -15,6 +15,9 @@
     /** The upstream answered with a server error of its own. */
     FAILED(false, true),
 
+    /** The upstream answered with a server error after the service of a nested call had failed or refused the call. */
+    NESTED_CALL_FAILED(false, true),
+
     /** It is not known whether the request ran, as its answer was lost. */
     LOST(false, true);
 
@@ -53,7 +56,10 @@
      * @return whether a further send is safe and useful
      */
     public boolean isRepeatable(boolean isIdempotent, boolean isNested) {
-        if (this == SERVED || (!isIdempotent && !isNotRun)) {
+        // A failed nested call has been repeated at its own node as far as the budget permits. A repeat of the run
+        // makes
+        // all its calls again, and so takes several repeats of the budget that the call was lacking.
+        if (this == SERVED || this == NESTED_CALL_FAILED || (!isIdempotent && !isNotRun)) {
             return false;
         }
         // A failed run at the root has used the work of its whole call tree; a repeat is left to the caller.
--- a/decision/src/test/java/io/cranberryarch/decision/serving/RepeatBudgetTest.java
+++ b/decision/src/test/java/io/cranberryarch/decision/serving/RepeatBudgetTest.java
@@ -23,7 +23,7 @@
             for (int i = 0; i < firstSends; i++) {
                 budget.onFirstSend(nodes, 10L * i);
                 // Each first send fails and is repeated until a repeat is refused.
-                while (budget.tryRepeat(nodes, 0, 10L * i)) {
+                while (budget.tryRepeat(nodes, 0, 1, 10L * i)) {
                     repeats++;
                 }
             }
@@ -41,7 +41,7 @@
         for (int i = 0; i < 60; i++) {
             budget.onSendInRepeatedRun(1, 10_000);
         }
-        assertFalse(budget.tryRepeat(1, 0, 10_000));
+        assertFalse(budget.tryRepeat(1, 0, 1, 10_000));
     }
 
     @Test
@@ -50,10 +50,10 @@
         for (int i = 0; i < 1_000; i++) {
             budget.onFirstSend(1, 10L * i);
         }
-        while (budget.tryRepeat(1, 2, 10_000)) {
+        while (budget.tryRepeat(1, 2, 1, 10_000)) {
             // Uses all repeats available to this rank.
         }
-        assertTrue(budget.tryRepeat(1, 0, 10_000));
+        assertTrue(budget.tryRepeat(1, 0, 1, 10_000));
     }
 
     @Test
@@ -82,13 +82,13 @@
     void remainingRepeatsAreReported() {
         RepeatBudget budget = new RepeatBudget(RATIO, SLACK);
         assertEquals(25, budget.getRemaining(1), 1e-9);
-        budget.tryRepeat(1, 0, 0);
+        budget.tryRepeat(1, 0, 1, 0);
         assertEquals(24, budget.getRemaining(1), 1e-9);
     }
 
     private static int countRepeats(RepeatBudget budget, int nodes, long nowMs) {
         int repeats = 0;
-        while (budget.tryRepeat(nodes, 0, nowMs)) {
+        while (budget.tryRepeat(nodes, 0, 1, nowMs)) {
             repeats++;
         }
         return repeats;
--- a/experiment/src/main/java/io/cranberryarch/experiment/serving/Mechanism.java
+++ b/experiment/src/main/java/io/cranberryarch/experiment/serving/Mechanism.java
@@ -20,6 +20,15 @@
     /** Sending requests again after a failed send. */
     REPEATS,
 
+    /** Not repeating a run whose nested call was failed by its service. */
+    FINAL_CALL_FAILURES,
+
+    /** Reserving repeats for the later nested calls of a run. */
+    PROGRESS_RESERVE,
+
+    /** Reserving repeats for the more important ranks. */
+    RANK_RESERVE,
+
     /** Sending a second attempt when an answer is overdue. */
     HEDGING,
 
--- a/experiment/src/main/java/io/cranberryarch/experiment/serving/ModelCallers.java
+++ b/experiment/src/main/java/io/cranberryarch/experiment/serving/ModelCallers.java
@@ -77,7 +77,7 @@
             }
             ModelRequest request =
                     new ModelRequest(spec, spec.name(), spec.rank(), false, false, startMs + spec.timeoutMs());
-            new ModelSend(entry, request, answer -> onAnswer(entry, answer)).start();
+            new ModelSend(entry, request, 1, answer -> onAnswer(entry, answer)).start();
         }
 
         private boolean isApplied(OverloadDetector.Overload overload) {
--- a/experiment/src/main/java/io/cranberryarch/experiment/serving/ModelRun.java
+++ b/experiment/src/main/java/io/cranberryarch/experiment/serving/ModelRun.java
@@ -1,5 +1,6 @@
 package io.cranberryarch.experiment.serving;
 
+import io.cranberryarch.decision.serving.RepeatBudget;
 import io.cranberryarch.decision.serving.SendOutcome;
 import io.cranberryarch.experiment.serving.ServingScenario.CallSpec;
 import io.cranberryarch.experiment.serving.ServingScenario.RequestSpec;
@@ -26,7 +27,6 @@
     private ModelSend activeCall;
     private long startedAtMs;
     private int servedCalls;
-    private boolean hasFailedNestedCall;
     private boolean isDone;
 
     ModelRun(ModelNode node, ModelRequest request, Consumer<ModelAnswer> callback) {
@@ -85,7 +85,7 @@
         ModelFleet fleet = node.getFleet();
         RequestSpec call = fleet.getScenario().requests().get(remainingCalls.remove(remainingCalls.size() - 1));
         ModelRequest nested = request.toNested(call, fleet.nowMs());
-        activeCall = new ModelSend(node, nested, this::onNestedAnswer);
+        activeCall = new ModelSend(node, nested, RepeatBudget.toProgress(servedCalls), this::onNestedAnswer);
         activeCall.start();
     }
 
@@ -99,8 +99,9 @@
             callNext();
             return;
         }
-        hasFailedNestedCall = true;
-        answer(SendOutcome.FAILED);
+        boolean isFinal =
+                answer.outcome() != SendOutcome.LOST && node.getFleet().uses(Mechanism.FINAL_CALL_FAILURES);
+        answer(isFinal ? SendOutcome.NESTED_CALL_FAILED : SendOutcome.FAILED);
     }
 
     private void answer(SendOutcome outcome) {
@@ -109,7 +110,7 @@
         node.getScheduler().recordDuration(tookMs);
         slotTimesMs.merge(request.spec().service(), tookMs, Double::sum);
         boolean isLost = fleet.draw() < fleet.toFaultStrength(FaultKind.LOSE_ANSWERS, node, 0);
-        node.recordOutcome(isLost || (outcome == SendOutcome.FAILED && !hasFailedNestedCall));
+        node.recordOutcome(isLost);
         end(isLost ? ModelAnswer.of(SendOutcome.LOST) : new ModelAnswer(outcome, slotTimesMs));
     }
 
@@ -148,8 +149,4 @@
         node.getScheduler().release(this);
         node.getScheduler().pollNext(node.getLimit()).ifPresent(ModelRun::start);
     }
-
-    int countServedCalls() {
-        return servedCalls;
-    }
 }
--- a/experiment/src/main/java/io/cranberryarch/experiment/serving/ModelSend.java
+++ b/experiment/src/main/java/io/cranberryarch/experiment/serving/ModelSend.java
@@ -16,6 +16,7 @@
 
     private static final int MAX_REDIRECTS = 3;
 
+    private final double progress;
     private final ModelNode node;
     private final ModelFleet fleet;
     private final ModelRequest request;
@@ -29,7 +30,8 @@
     private int notRunCount;
     private int redirectCount;
 
-    ModelSend(ModelNode node, ModelRequest request, Consumer<ModelAnswer> callback) {
+    ModelSend(ModelNode node, ModelRequest request, double progress, Consumer<ModelAnswer> callback) {
+        this.progress = progress;
         this.node = node;
         this.fleet = node.getFleet();
         this.request = request;
@@ -135,9 +137,11 @@
     }
 
     private boolean tryRepeat() {
+        int rank = fleet.uses(Mechanism.RANK_RESERVE) ? request.rank() : 0;
+        double effectiveProgress = fleet.uses(Mechanism.PROGRESS_RESERVE) ? progress : 1;
         return fleet.uses(Mechanism.REPEATS)
                 && node.getBudget(request.spec().service())
-                        .tryRepeat(fleet.getNodes().size(), request.rank(), fleet.nowMs());
+                        .tryRepeat(fleet.getNodes().size(), rank, effectiveProgress, fleet.nowMs());
     }
 
     private boolean isRunAllowed() {
--- a/mesh/src/main/java/io/cranberryarch/mesh/EntryService.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/EntryService.java
@@ -4,6 +4,7 @@
 import io.cranberryarch.context.ForwardedAnswer;
 import io.cranberryarch.context.ForwardedRequest;
 import io.cranberryarch.context.HeaderField;
+import io.cranberryarch.decision.serving.RepeatBudget;
 import io.cranberryarch.decision.serving.RouteCosts;
 import io.cranberryarch.net.EventLoop;
 import io.cranberryarch.net.HttpExchange;
@@ -40,6 +41,9 @@
     /** The Retry-After time while no rules are loaded or no instance is reachable. */
     private static final long UNAVAILABLE_RETRY_AFTER_MS = 500;
 
+    /** The outcomes of a nested call for which its service is to blame, rather than the path to an instance. */
+    private static final Set<String> SERVICE_FAILURES = Set.of("answered", "rejected-by-upstream", "overloaded");
+
     private final EventLoop loop;
     private final MeshSettings settings;
     private final HeaderNames names;
@@ -242,8 +246,14 @@
                     request.hasBody());
             exchange.onAbandoned(this::abandon);
             timeout = Optional.of(loop.schedule(leftMs, this::expire));
+            double progress = parent.map(run -> RepeatBudget.toProgress(run.countServedCalls()))
+                    .orElse(1.0);
             Forwarder.Attempts newAttempts = forwarder.send(
-                    forwarded, matchedRoute.isIdempotent(), Math.max(1, matchedRoute.attemptLimit()), this::finish);
+                    forwarded,
+                    matchedRoute.isIdempotent(),
+                    Math.max(1, matchedRoute.attemptLimit()),
+                    progress,
+                    this::finish);
             attempts = Optional.of(newAttempts);
         }
 
@@ -305,7 +315,10 @@
             inProgress--;
             timeout.ifPresent(EventLoop.Timer::cancel);
             if (status == 0 || status >= 400) {
-                parent.ifPresent(Gate.Run::onNestedCallFailed);
+                boolean isFailedByService = SERVICE_FAILURES.contains(outcome);
+                parent.ifPresent(run -> run.onNestedCallFailed(isFailedByService));
+            } else {
+                parent.ifPresent(Gate.Run::onNestedCallServed);
             }
             long tookMs = loop.nowMs() - startMs;
             String routeName = route.map(ServingRoute::name).orElse("none");
--- a/mesh/src/main/java/io/cranberryarch/mesh/Forwarder.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/Forwarder.java
@@ -57,12 +57,17 @@
      * @param request the request
      * @param isIdempotent whether the request may run more than once
      * @param attemptLimit the maximum number of instances that may run the request
+     * @param progress how much of the run that makes the request is done, 1 if it is not nested
      * @param callback receives the outcome once, unless the request is cancelled
      * @return the attempts, which can be cancelled
      */
     Attempts send(
-            ForwardedRequest request, boolean isIdempotent, int attemptLimit, Consumer<ForwardedAnswer> callback) {
-        Attempts attempts = new Attempts(request, isIdempotent, attemptLimit, callback);
+            ForwardedRequest request,
+            boolean isIdempotent,
+            int attemptLimit,
+            double progress,
+            Consumer<ForwardedAnswer> callback) {
+        Attempts attempts = new Attempts(request, isIdempotent, attemptLimit, progress, callback);
         RepeatBudget budget = getBudget(request.service());
         if (request.isRepeat()) {
             budget.onSendInRepeatedRun(peers.countNodes(), loop.nowMs());
@@ -88,6 +93,7 @@
         private final ForwardedRequest request;
         private final boolean isIdempotent;
         private final int attemptLimit;
+        private final double progress;
         private final Consumer<ForwardedAnswer> callback;
         private final long deadlineMs;
         private final Set<String> triedNodes = new LinkedHashSet<>();
@@ -101,10 +107,15 @@
         private boolean isDone;
 
         private Attempts(
-                ForwardedRequest request, boolean isIdempotent, int attemptLimit, Consumer<ForwardedAnswer> callback) {
+                ForwardedRequest request,
+                boolean isIdempotent,
+                int attemptLimit,
+                double progress,
+                Consumer<ForwardedAnswer> callback) {
             this.request = request;
             this.isIdempotent = isIdempotent;
             this.attemptLimit = attemptLimit;
+            this.progress = progress;
             this.callback = callback;
             this.deadlineMs = loop.nowMs() + request.timeoutMs();
             // Nested and direct requests to the same service differ in their work, and so in their latency.
@@ -244,7 +255,7 @@
 
         private boolean tryRepeat() {
             boolean isAllowed =
-                    getBudget(request.service()).tryRepeat(peers.countNodes(), request.rank(), loop.nowMs());
+                    getBudget(request.service()).tryRepeat(peers.countNodes(), request.rank(), progress, loop.nowMs());
             if (!isAllowed) {
                 metrics.count("repeats_over_budget{service=\"" + request.service() + "\"}");
             }
@@ -286,7 +297,10 @@
 
     private static SendOutcome toOutcome(ForwardedAnswer answer) {
         if (answer.isAnswered()) {
-            return answer.status() < MIN_SERVER_ERROR_STATUS ? SendOutcome.SERVED : SendOutcome.FAILED;
+            if (answer.status() < MIN_SERVER_ERROR_STATUS) {
+                return SendOutcome.SERVED;
+            }
+            return answer.isNestedCallFailed() ? SendOutcome.NESTED_CALL_FAILED : SendOutcome.FAILED;
         }
         if (answer.execution() != Execution.NOT_RUN) {
             return SendOutcome.LOST;
--- a/mesh/src/main/java/io/cranberryarch/mesh/Gate.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/Gate.java
@@ -176,7 +176,9 @@
         private long startedAtMs;
         private Optional<HttpClientConnection> connection = Optional.empty();
         private Optional<EventLoop.Timer> timeout = Optional.empty();
+        private int servedCalls;
         private boolean hasFailedNestedCall;
+        private boolean isCallFailedByService;
         private boolean isFinished;
 
         private Run(ForwardedRequest request, Consumer<ForwardedAnswer> callback, long nowMs) {
@@ -189,9 +191,23 @@
             return request;
         }
 
-        /** Records that a nested call failed, which may cause the run itself to fail. */
-        void onNestedCallFailed() {
+        /**
+         * Records that a nested call failed, which may cause the run itself to fail.
+         *
+         * @param isFailedByService whether the service failed or refused the call, so that it would fail at another
+         *     instance of this upstream as well
+         */
+        void onNestedCallFailed(boolean isFailedByService) {
             hasFailedNestedCall = true;
+            isCallFailedByService |= isFailedByService;
+        }
+
+        void onNestedCallServed() {
+            servedCalls++;
+        }
+
+        int countServedCalls() {
+            return servedCalls;
         }
 
         /** Adds the slot time that a nested call used, in milliseconds by service. */
@@ -252,7 +268,8 @@
                     slotTimesMs,
                     getLimit(),
                     countInFlight(),
-                    getFailureRatio()));
+                    getFailureRatio(),
+                    isCallFailedByService));
         }
 
         @Override
--- a/wire/src/main/java/io/cranberryarch/wire/ForwardAnswerMessage.java
+++ b/wire/src/main/java/io/cranberryarch/wire/ForwardAnswerMessage.java
@@ -25,7 +25,8 @@
                 FieldCodec.readAmounts(in),
                 in.unpackInt(),
                 in.unpackInt(),
-                in.unpackFloat()));
+                in.unpackFloat(),
+                in.unpackBoolean()));
     }
 
     @Override
@@ -44,5 +45,6 @@
         out.packInt(answer.limit());
         out.packInt(answer.inFlight());
         out.packFloat((float) answer.upstreamFailureRatio());
+        out.packBoolean(answer.isNestedCallFailed());
     }
 }
