Nested calls are matched to their runs by identifier, with the deadline as fallback; repeats counted right

The identifier of a nested call starts with that of its parent request; it is used where a run of that request is in progress and the deadline does not contradict.

--- a/decision/src/main/java/io/cranberryarch/decision/serving/RunRegistry.java
+++ b/decision/src/main/java/io/cranberryarch/decision/serving/RunRegistry.java
@@ -1,5 +1,6 @@
 package io.cranberryarch.decision.serving;
 
+import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
@@ -7,9 +8,9 @@
 /**
  * Maps the nested calls of an upstream to the runs that make them.
  *
- * <p>Nested calls carry no identifier of the request that they belong to, but they inherit its deadline. Each run
- * therefore gets a unique deadline, a few milliseconds apart from those of other runs, and a nested call is matched to
- * its run by deadline. Not thread-safe.
+ * <p>A nested call is matched by the identifier of its parent request where its own identifier shows it, and by its
+ * deadline otherwise: calls inherit the deadline of their run, unless their own time limit is shorter. Each run
+ * therefore gets a unique deadline, a few milliseconds apart from those of other runs. Not thread-safe.
  *
  * @param <T> the type of a run
  */
@@ -32,15 +33,17 @@
     private static final long MAX_LATE_MS = 200;
 
     private final TreeMap<Long, T> byDeadline = new TreeMap<>();
+    private final Map<String, Long> deadlinesById = new HashMap<>();
 
     /**
      * Adds a run.
      *
      * @param run the run
+     * @param requestId the identifier of its request, empty if unknown
      * @param deadlineMs the deadline of the request, in monotonic milliseconds
      * @return the unique deadline of the run, the same or slightly earlier
      */
-    public long add(T run, long deadlineMs) {
+    public long add(T run, String requestId, long deadlineMs) {
         long earliestMs = deadlineMs - MAX_SHIFT_MS;
         long uniqueMs = deadlineMs;
         Map.Entry<Long, T> below = byDeadline.floorEntry(uniqueMs + MIN_SPACING_MS - 1);
@@ -52,25 +55,37 @@
             uniqueMs--;
         }
         byDeadline.put(uniqueMs, run);
+        if (!requestId.isEmpty()) {
+            deadlinesById.put(requestId, uniqueMs);
+        }
         return uniqueMs;
     }
 
     /**
      * Removes a run.
      *
+     * @param requestId the identifier of its request
      * @param deadlineMs the deadline that {@link #add} returned
      */
-    public void remove(long deadlineMs) {
+    public void remove(String requestId, long deadlineMs) {
         byDeadline.remove(deadlineMs);
+        // Another run of the same request may have been added since.
+        deadlinesById.remove(requestId, deadlineMs);
     }
 
     /**
      * Returns the run of a nested call.
      *
+     * @param parentId the identifier of the parent request according to that of the call, or empty if unknown
      * @param deadlineMs the deadline of the call, in monotonic milliseconds
-     * @return the run with the latest deadline within the tolerance, or empty if there is none
+     * @return the run of the parent request if its deadline is not clearly before that of the call, else the run with
+     *     the latest deadline within the tolerance, or empty if there is none
      */
-    public Optional<T> find(long deadlineMs) {
+    public Optional<T> find(Optional<String> parentId, long deadlineMs) {
+        Long parentDeadlineMs = parentId.map(deadlinesById::get).orElse(null);
+        if (parentDeadlineMs != null && parentDeadlineMs >= deadlineMs - MAX_LATE_MS) {
+            return Optional.of(byDeadline.get(parentDeadlineMs));
+        }
         Map.Entry<Long, T> before = byDeadline.floorEntry(deadlineMs + MAX_EARLY_MS);
         if (before == null || before.getKey() < deadlineMs - MAX_LATE_MS) {
             return Optional.empty();
--- a/experiment/src/main/java/io/cranberryarch/experiment/serving/ModelRun.java
+++ b/experiment/src/main/java/io/cranberryarch/experiment/serving/ModelRun.java
@@ -99,8 +99,7 @@
             callNext();
             return;
         }
-        boolean isFinal =
-                answer.outcome() != SendOutcome.LOST && node.getFleet().uses(Mechanism.FINAL_CALL_FAILURES);
+        boolean isFinal = node.getFleet().uses(Mechanism.FINAL_CALL_FAILURES);
         answer(isFinal ? SendOutcome.NESTED_CALL_FAILED : SendOutcome.FAILED);
     }
 
--- a/experiment/src/main/java/io/cranberryarch/experiment/serving/ModelSend.java
+++ b/experiment/src/main/java/io/cranberryarch/experiment/serving/ModelSend.java
@@ -26,6 +26,7 @@
     private final Map<Integer, ModelRun> active = new HashMap<>();
     private boolean isHedgeScheduled;
     private boolean isDone;
+    private boolean hasReachedUpstream;
     private int sentCount;
     private int notRunCount;
     private int redirectCount;
@@ -76,7 +77,7 @@
         double delayMs = fleet.toDelayMs(node, target);
         ModelRun run = new ModelRun(
                 target,
-                request.toAttempt(number > 1),
+                request.toAttempt(hasReachedUpstream || !active.isEmpty()),
                 answer -> fleet.afterMs(delayMs, () -> onAnswer(number, chosen.get(), startMs, answer)));
         active.put(number, run);
         fleet.afterMs(delayMs, run::arrive);
@@ -111,6 +112,7 @@
         target.getLoad().onReport(instance.getLimit(), instance.countInFlight(), instance.getFailureRatio());
         SendOutcome outcome = answer.outcome();
         target.getLoad().onEnd(outcome == SendOutcome.LOST && fleet.uses(Mechanism.FAILURE_RATIO), fleet.nowMs());
+        hasReachedUpstream |= outcome.isLimitedByBudget();
         notRunCount += outcome.isNotRun() ? 1 : 0;
         if (outcome == SendOutcome.SERVED) {
             latency.record(
--- a/mesh/src/main/java/io/cranberryarch/mesh/EntryService.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/EntryService.java
@@ -41,8 +41,15 @@
     /** The Retry-After time while no rules are loaded or no instance is reachable. */
     private static final long UNAVAILABLE_RETRY_AFTER_MS = 500;
 
-    /** The outcomes of a nested call for which its service is to blame, rather than the path to an instance. */
-    private static final Set<String> SERVICE_FAILURES = Set.of("answered", "rejected-by-upstream", "overloaded");
+    /** The outcomes of a nested call that did not reach an instance, and may from another node. */
+    private static final Set<String> PATH_FAILURES = Set.of(
+            "no-instance",
+            "no-upstream",
+            "wrong-service",
+            "leaving",
+            "upstream-unreachable",
+            "rules-unknown",
+            "no-parent");
 
     private final EventLoop loop;
     private final MeshSettings settings;
@@ -192,7 +199,7 @@
                 return account.isPresent() || matchedRoute.isOpen();
             }
             if (isKeyless() && isFromLocalHost()) {
-                parent = findCallerTimeoutMs().flatMap(timeoutMs -> gate.findParent(startMs + timeoutMs));
+                parent = findCallerTimeoutMs().flatMap(timeoutMs -> gate.findParent(requestId, startMs + timeoutMs));
             }
             return matchedRoute.isOpen() || parent.isPresent();
         }
@@ -315,7 +322,7 @@
             inProgress--;
             timeout.ifPresent(EventLoop.Timer::cancel);
             if (status == 0 || status >= 400) {
-                boolean isFailedByService = SERVICE_FAILURES.contains(outcome);
+                boolean isFailedByService = !PATH_FAILURES.contains(outcome);
                 parent.ifPresent(run -> run.onNestedCallFailed(isFailedByService));
             } else {
                 parent.ifPresent(Gate.Run::onNestedCallServed);
@@ -331,6 +338,8 @@
             if (!isExpected && log.tryAcquireRequestLine(loop.nowMs())) {
                 log.info("event=request-ended request=" + requestId + " route=" + routeName + " service=" + service
                         + " account=" + account.map(AccountRule::name).orElse("-") + " nested=" + parent.isPresent()
+                        + parent.map(run -> " parent=" + run.getRequest().requestId())
+                                .orElse("")
                         + " status=" + status + " outcome=" + outcome + " took-ms=" + tookMs + " rules-version="
                         + rules.getVersion() + " rules-age-ms=" + rules.getAgeMs()
                         + attempts.map(Forwarder.Attempts::toLogFields).orElse("") + logDetails.get());
--- a/mesh/src/main/java/io/cranberryarch/mesh/Forwarder.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/Forwarder.java
@@ -104,6 +104,7 @@
         private int notRunCount;
         private int redirectCount;
         private boolean mayHaveRun;
+        private boolean hasReachedUpstream;
         private boolean isDone;
 
         private Attempts(
@@ -151,7 +152,8 @@
             int number = ++sentCount;
             metrics.count(number == 1 ? "attempts{kind=\"first\"}" : "attempts{kind=\"repeat\"}");
             long startMs = loop.nowMs();
-            ForwardedRequest attempt = request.toAttempt(Math.max(1, deadlineMs - startMs), number > 1);
+            boolean isResend = hasReachedUpstream || !activeAttempts.isEmpty();
+            ForwardedRequest attempt = request.toAttempt(Math.max(1, deadlineMs - startMs), isResend);
             activeAttempts.put(number, () -> {});
             Runnable cancel;
             if (peers.isSelf(peer)) {
@@ -230,6 +232,7 @@
                 mayHaveRun = true;
             }
             SendOutcome outcome = toOutcome(answer);
+            hasReachedUpstream |= outcome.isLimitedByBudget();
             if (outcome == SendOutcome.SERVED) {
                 latency.record(
                         (double) (loop.nowMs() - startMs), answer.slotTimesMs().size() <= 1);
--- a/mesh/src/main/java/io/cranberryarch/mesh/Gate.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/Gate.java
@@ -91,11 +91,12 @@
     /**
      * Finds the run that a nested call of the upstream belongs to.
      *
+     * @param requestId the identifier of the nested call
      * @param deadlineMs the deadline of the nested call, in milliseconds of the monotonic clock
      * @return the run, or empty if none matches
      */
-    Optional<Run> findParent(long deadlineMs) {
-        return runRegistry.find(deadlineMs);
+    Optional<Run> findParent(String requestId, long deadlineMs) {
+        return runRegistry.find(names.toParentId(requestId), deadlineMs);
     }
 
     /** Returns whether the upstream may be running a request, sent by this node or before this node started. */
@@ -217,7 +218,7 @@
 
         private void start() {
             startedAtMs = loop.nowMs();
-            deadlineMs = runRegistry.add(this, deadlineMs);
+            deadlineMs = runRegistry.add(this, request.requestId(), deadlineMs);
             long leftMs = Math.max(1, deadlineMs - startedAtMs);
             List<HeaderField> headers = new ArrayList<>(request.headers());
             if (!request.requestId().isEmpty()) {
@@ -309,7 +310,7 @@
         private void release() {
             timeout.ifPresent(EventLoop.Timer::cancel);
             if (scheduler.release(this)) {
-                runRegistry.remove(deadlineMs);
+                runRegistry.remove(request.requestId(), deadlineMs);
                 lastRunEndedAtMs = loop.nowMs();
                 startNext();
             }
--- a/mesh/src/test/java/io/cranberryarch/mesh/TestHeaderNames.java
+++ b/mesh/src/test/java/io/cranberryarch/mesh/TestHeaderNames.java
@@ -11,7 +11,8 @@
             "Test-Expected",
             "Test-Instance",
             "Test-Stamp",
-            "Test-Not-Executed");
+            "Test-Not-Executed",
+            ".");
 
     private TestHeaderNames() {}
 }
