Overload is observed faster, refusals rise gently, no hedged attempt into a queue; 5 % of slots stay free

The gate reserved 1 of 21 slots for connections and checks, less than the 5 % that it means to: rounded up now.

--- a/decision/src/main/java/io/cranberryarch/decision/serving/InstanceLoad.java
+++ b/decision/src/main/java/io/cranberryarch/decision/serving/InstanceLoad.java
@@ -94,6 +94,16 @@
         return getLimit(nowMs) * (1 - upstreamFailureRatio);
     }
 
+    /**
+     * Returns whether a further request would run at once.
+     *
+     * @param nowMs the time in milliseconds
+     * @return whether a slot is free
+     */
+    public boolean hasFreeSlot(long nowMs) {
+        return getInFlight() < getLimit(nowMs);
+    }
+
     /**
      * Returns the cost of sending another request to the instance.
      *
--- a/decision/src/main/java/io/cranberryarch/decision/serving/LoadShedding.java
+++ b/decision/src/main/java/io/cranberryarch/decision/serving/LoadShedding.java
@@ -16,8 +16,11 @@
      */
     private static final double MIN_SHED_LOAD_RATIO = 1.2;
 
-    /** The additional load over which the refusals of a rank rise from none to all, half of it for new requests. */
-    private static final double RANK_LOAD_RANGE_RATIO = 0.4;
+    /**
+     * The additional load over which the refusals of a rank rise from none to all, half of it for new requests. A steep
+     * rise makes the load oscillate, as it reaches the entries with a delay.
+     */
+    private static final double RANK_LOAD_RANGE_RATIO = 1.0;
 
     /** The additional load above which the next more important rank is refused. */
     private static final double RANK_LOAD_OFFSET_RATIO = 1.0;
--- a/decision/src/main/java/io/cranberryarch/decision/serving/OverloadDetector.java
+++ b/decision/src/main/java/io/cranberryarch/decision/serving/OverloadDetector.java
@@ -17,8 +17,8 @@
  */
 public final class OverloadDetector {
 
-    /** The time constant of the moving average of load. Call trees reach deep services only after a delay. */
-    private static final double LOAD_TIME_CONSTANT_MS = 250;
+    /** The time constant of the moving average of load, which smooths the differences between single arrivals. */
+    private static final double LOAD_TIME_CONSTANT_MS = 100;
 
     /** The share of a service's capacity that new requests may use; the rest absorbs bursts of arrivals. */
     private static final double USABLE_CAPACITY_RATIO = 0.95;
--- a/decision/src/main/java/io/cranberryarch/decision/serving/WorkDemand.java
+++ b/decision/src/main/java/io/cranberryarch/decision/serving/WorkDemand.java
@@ -17,7 +17,7 @@
  */
 public final class WorkDemand {
 
-    private static final double AVERAGING_TIME_MS = 1_000;
+    private static final double AVERAGING_TIME_MS = 500;
 
     /** The demand, in slots, below which it is reported to other nodes as 0. */
     private static final double MIN_REPORTED_SLOTS = 0.02;
--- a/experiment/src/main/java/io/cranberryarch/experiment/serving/ModelSend.java
+++ b/experiment/src/main/java/io/cranberryarch/experiment/serving/ModelSend.java
@@ -59,12 +59,7 @@
     }
 
     private void sendNext() {
-        String service = request.spec().service();
-        Optional<ModelNode.Candidate> chosen = InstanceSelector.choose(
-                node.findCandidates(service, true, tried),
-                node.findCandidates(service, false, tried),
-                fleet.nowMs(),
-                fleet.nextBits());
+        Optional<ModelNode.Candidate> chosen = chooseInstance();
         if (chosen.isEmpty()) {
             finish(ModelAnswer.of(SendOutcome.REFUSED));
             return;
@@ -97,7 +92,7 @@
         isHedgeScheduled = true;
         fleet.atMs(fleet.nowMs() + overdueMs, () -> {
             boolean isTooLate = request.deadlineMs() - fleet.nowMs() < latency.getMeanMs();
-            if (!isDone && !active.isEmpty() && !isTooLate && isRunAllowed() && hasOther() && tryRepeat()) {
+            if (!isDone && !active.isEmpty() && !isTooLate && isRunAllowed() && hasOtherFree() && tryRepeat()) {
                 sendNext();
             }
         });
@@ -156,6 +151,21 @@
                 || !node.findCandidates(service, false, tried).isEmpty();
     }
 
+    private boolean hasOtherFree() {
+        return chooseInstance()
+                .filter(candidate -> candidate.getLoad().hasFreeSlot(fleet.nowMs()))
+                .isPresent();
+    }
+
+    private Optional<ModelNode.Candidate> chooseInstance() {
+        String service = request.spec().service();
+        return InstanceSelector.choose(
+                node.findCandidates(service, true, tried),
+                node.findCandidates(service, false, tried),
+                fleet.nowMs(),
+                fleet.nextBits());
+    }
+
     private void finish(ModelAnswer answer) {
         cancel();
         callback.accept(answer);
--- a/mesh/src/main/java/io/cranberryarch/mesh/Forwarder.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/Forwarder.java
@@ -178,7 +178,12 @@
             }
             hedgeTimer = Optional.of(loop.schedule(overdueMs, () -> {
                 boolean isTooLate = deadlineMs - loop.nowMs() < latency.getMeanMs();
-                if (isDone || activeAttempts.isEmpty() || isTooLate || !isRunAllowed() || !hasOther() || !tryRepeat()) {
+                if (isDone
+                        || activeAttempts.isEmpty()
+                        || isTooLate
+                        || !isRunAllowed()
+                        || !hasOtherFree()
+                        || !tryRepeat()) {
                     return;
                 }
                 logRepeat("overdue", Execution.UNKNOWN);
@@ -287,6 +292,13 @@
                     || !untried(candidates.otherZones()).isEmpty();
         }
 
+        /** Returns whether another instance has a free slot; otherwise a hedged attempt would add to the queues. */
+        private boolean hasOtherFree() {
+            return chooseInstance()
+                    .filter(peer -> peer.getLoad().hasFreeSlot(loop.nowMs()))
+                    .isPresent();
+        }
+
         private void finish(ForwardedAnswer answer) {
             end();
             boolean isUncertain = mayHaveRun && answer.execution() == Execution.NOT_RUN;
--- a/mesh/src/main/java/io/cranberryarch/mesh/Gate.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/Gate.java
@@ -106,7 +106,7 @@
 
     int getLimit() {
         int slots = upstream.getSlots();
-        return Math.max(1, slots - Math.max(1, (int) Math.round(slots * RESERVED_SLOT_RATIO)));
+        return Math.max(1, slots - (int) Math.ceil(slots * RESERVED_SLOT_RATIO));
     }
 
     /** Returns the share of requests that fail because of the upstream itself, from 0 to 1. */
