--- a/app/src/main/java/io/cranberryarch/app/Main.java
+++ b/app/src/main/java/io/cranberryarch/app/Main.java
@@ -8,6 +8,7 @@
 import io.cranberryarch.operator.ExitCodes;
 import io.cranberryarch.operator.ExplainCommand;
 import io.cranberryarch.operator.KeyCommand;
+import io.cranberryarch.operator.LossesCommand;
 import io.cranberryarch.operator.ReportCommand;
 import io.cranberryarch.operator.RouteCommand;
 import io.cranberryarch.operator.SettingsCommand;
@@ -38,6 +39,7 @@
             StatusCommand.class,
             DrainCommand.class,
             ExplainCommand.class,
+            LossesCommand.class,
             ReportCommand.class,
             DayReportCommand.class,
             StandinCommand.class,
--- a/app/src/main/java/io/cranberryarch/app/NodeCommand.java
+++ b/app/src/main/java/io/cranberryarch/app/NodeCommand.java
@@ -12,7 +12,10 @@
 import picocli.CommandLine.Option;
 
 /** Runs a node until the process receives a signal to stop. */
-@Command(name = "node", description = "Runs the node beside an upstream; SIGTERM stops it gracefully.")
+@Command(
+        name = "node",
+        description = "Runs the node beside an upstream; SIGTERM stops it gracefully.",
+        mixinStandardHelpOptions = true)
 final class NodeCommand implements Callable<Integer> {
 
     @Option(names = "--config", required = true, description = "the INI file of the node")
--- a/operator/src/main/java/io/cranberryarch/operator/AccountCommand.java
+++ b/operator/src/main/java/io/cranberryarch/operator/AccountCommand.java
@@ -10,10 +10,10 @@
 import picocli.CommandLine.Parameters;
 
 /** Creates and lists client accounts. */
-@Command(name = "account", description = "Creates and lists client accounts.")
+@Command(name = "account", description = "Creates and lists client accounts.", mixinStandardHelpOptions = true)
 public final class AccountCommand {
 
-    @Command(name = "create", description = "Creates a client account.")
+    @Command(name = "create", description = "Creates a client account.", mixinStandardHelpOptions = true)
     int create(
             @Mixin NodeOptions node,
             @Option(names = "--team", required = true, description = "the team that owns it") String team,
@@ -39,7 +39,7 @@
         }
     }
 
-    @Command(name = "list", description = "Lists the client accounts of a team.")
+    @Command(name = "list", description = "Lists the client accounts of a team.", mixinStandardHelpOptions = true)
     int list(@Mixin NodeOptions node, @Option(names = "--team", required = true) String team) throws CommandException {
         try (AdminClient client = node.connect()) {
             Map<String, String> values =
--- a/operator/src/main/java/io/cranberryarch/operator/CheckCommand.java
+++ b/operator/src/main/java/io/cranberryarch/operator/CheckCommand.java
@@ -9,7 +9,10 @@
 import picocli.CommandLine.Parameters;
 
 /** Validates the INI file of a node and prints every fault. */
-@Command(name = "check", description = "Validates the INI file of a node and lists every fault.")
+@Command(
+        name = "check",
+        description = "Validates the INI file of a node and lists every fault.",
+        mixinStandardHelpOptions = true)
 public final class CheckCommand implements Callable<Integer> {
 
     @Parameters(paramLabel = "FILE", description = "the INI file")
--- a/operator/src/main/java/io/cranberryarch/operator/DrainCommand.java
+++ b/operator/src/main/java/io/cranberryarch/operator/DrainCommand.java
@@ -7,7 +7,8 @@
 /** Drains a node, which takes it out of service. */
 @Command(
         name = "drain",
-        description = "Stops new requests to the upstream of a node; requests in progress are completed.")
+        description = "Stops new requests to the upstream of a node; requests in progress are completed.",
+        mixinStandardHelpOptions = true)
 public final class DrainCommand implements Callable<Integer> {
 
     @Mixin
--- a/operator/src/main/java/io/cranberryarch/operator/ExplainCommand.java
+++ b/operator/src/main/java/io/cranberryarch/operator/ExplainCommand.java
@@ -1,10 +1,6 @@
 package io.cranberryarch.operator;
 
-import java.io.BufferedReader;
 import java.io.IOException;
-import java.io.InputStreamReader;
-import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -13,7 +9,10 @@
 import picocli.CommandLine.Parameters;
 
 /** Prints the log lines of a request from the logs of nodes, with a description of its outcome. */
-@Command(name = "explain", description = "Shows from the logs of nodes what happened to a request, and why.")
+@Command(
+        name = "explain",
+        description = "Shows from the logs of nodes what happened to a request, and why.",
+        mixinStandardHelpOptions = true)
 public final class ExplainCommand implements Callable<Integer> {
 
     @Parameters(index = "0", paramLabel = "REQUEST-ID", description = "the identifier of the request")
@@ -25,17 +24,8 @@
     @Override
     public Integer call() throws IOException {
         RequestTrace trace = new RequestTrace(requestId);
-        if (files.isEmpty()) {
-            addLines("-", new BufferedReader(new InputStreamReader(System.in, StandardCharsets.UTF_8)), trace);
-        }
-        for (Path file : files) {
-            if (!Files.isReadable(file)) {
-                System.err.println(file + ": cannot be read");
-                return ExitCodes.REFUSED;
-            }
-            try (BufferedReader reader = Files.newBufferedReader(file, StandardCharsets.UTF_8)) {
-                addLines(file.getFileName().toString(), reader, trace);
-            }
+        if (!LogFiles.read(files, trace::add)) {
+            return ExitCodes.REFUSED;
         }
         if (trace.isEmpty()) {
             System.err.println("no line about request " + requestId + "; ordinary successes are not logged,"
@@ -45,10 +35,4 @@
         System.out.print(trace.toText());
         return ExitCodes.OK;
     }
-
-    private static void addLines(String source, BufferedReader reader, RequestTrace trace) throws IOException {
-        for (String line = reader.readLine(); line != null; line = reader.readLine()) {
-            trace.add(source, line);
-        }
-    }
 }
--- a/operator/src/main/java/io/cranberryarch/operator/KeyCommand.java
+++ b/operator/src/main/java/io/cranberryarch/operator/KeyCommand.java
@@ -10,13 +10,19 @@
 import picocli.CommandLine.Parameters;
 
 /** Issues, lists and withdraws keys of client accounts. */
-@Command(name = "key", description = "Issues, lists and withdraws keys of client accounts.")
+@Command(
+        name = "key",
+        description = "Issues, lists and withdraws keys of client accounts.",
+        mixinStandardHelpOptions = true)
 public final class KeyCommand {
 
     private static final int ID_BYTES = 6;
     private static final int SECRET_BYTES = 24;
 
-    @Command(name = "issue", description = "Issues a key and prints it. It is shown only once.")
+    @Command(
+            name = "issue",
+            description = "Issues a key and prints it. It is shown only once.",
+            mixinStandardHelpOptions = true)
     int issue(
             @Mixin NodeOptions node,
             @Option(names = "--team", required = true, description = "the team of the account") String team,
@@ -36,7 +42,10 @@
         }
     }
 
-    @Command(name = "list", description = "Prints the keys with their accounts, without their secrets.")
+    @Command(
+            name = "list",
+            description = "Prints the keys with their accounts, without their secrets.",
+            mixinStandardHelpOptions = true)
     int list(@Mixin NodeOptions node) throws CommandException {
         try (AdminClient client = node.connect()) {
             for (KeysBody.KeyBody key : client.readKeys().keys()) {
@@ -46,7 +55,10 @@
         }
     }
 
-    @Command(name = "withdraw", description = "Withdraws a key permanently, also while the platform is down.")
+    @Command(
+            name = "withdraw",
+            description = "Withdraws a key permanently, also while the platform is down.",
+            mixinStandardHelpOptions = true)
     int withdraw(
             @Mixin NodeOptions node,
             @Option(names = "--team", required = true, description = "the team of the account") String team,
--- a/operator/src/main/java/io/cranberryarch/operator/ReportCommand.java
+++ b/operator/src/main/java/io/cranberryarch/operator/ReportCommand.java
@@ -18,7 +18,7 @@
 import picocli.CommandLine.Option;
 
 /** Prints the report on a day, from the counts that a node reads. */
-@Command(name = "report", description = "Prints a report on whether a day went well.")
+@Command(name = "report", description = "Prints a report on whether a day went well.", mixinStandardHelpOptions = true)
 public final class ReportCommand implements Callable<Integer> {
 
     private static final Pattern RATE_PATH = Pattern.compile("/teams/[^/]+/accounts/([^/]+)/rate");
--- a/operator/src/main/java/io/cranberryarch/operator/RequestTrace.java
+++ b/operator/src/main/java/io/cranberryarch/operator/RequestTrace.java
@@ -7,8 +7,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
 
 /**
  * Collects the log lines of one request from several nodes, together with the preceding lines on changes of the state
@@ -22,9 +20,6 @@
  */
 public final class RequestTrace {
 
-    private static final Pattern FIELD = Pattern.compile("([a-z][a-z-]*)=(\"[^\"]*\"|\\S+)");
-    private static final Pattern TIME = Pattern.compile("\\d{4}-\\d{2}-\\d{2}T\\S+");
-
     /** Events that change the state of a node. The latest one of each is shown before the lines of the request. */
     private static final List<String> NODE_STATE_EVENTS =
             List.of("rules-changed", "upstream-changed", "store-lost", "store-regained", "settings-reloaded");
@@ -80,24 +75,20 @@
      * @param text the line, not {@code null}
      */
     public void add(String file, String text) {
-        Map<String, String> fields = parseFields(text);
-        String event = fields.get("event");
-        if (event == null) {
+        Optional<LogLine> parsed = LogLine.parse(file, text);
+        if (parsed.isEmpty()) {
             return;
         }
-        Matcher time = TIME.matcher(text);
-        boolean hasTime = time.find();
-        String prefix = hasTime ? text.substring(0, time.start()).strip() : "";
-        String source = prefix.isEmpty() ? file : prefix.substring(prefix.lastIndexOf(' ') + 1);
-        LogLine line = new LogLine(source, hasTime ? time.group() : "", event, fields);
-        if (NODE_STATE_EVENTS.contains(event)) {
+        LogLine line = parsed.get();
+        if (NODE_STATE_EVENTS.contains(line.event())) {
             pendingStateEvents
-                    .computeIfAbsent(source, unused -> new LinkedHashMap<>())
-                    .put(event, line);
+                    .computeIfAbsent(line.source(), unused -> new LinkedHashMap<>())
+                    .put(line.event(), line);
         }
-        if (requestId.equals(fields.get("request"))) {
-            lines.addAll(pendingStateEvents.getOrDefault(source, Map.of()).values());
-            pendingStateEvents.remove(source);
+        if (requestId.equals(line.fields().get("request"))) {
+            lines.addAll(
+                    pendingStateEvents.getOrDefault(line.source(), Map.of()).values());
+            pendingStateEvents.remove(line.source());
             lines.add(line);
         }
     }
@@ -147,16 +138,4 @@
         }
         return Optional.ofNullable(OUTCOME_DESCRIPTIONS.get(outcome));
     }
-
-    private static Map<String, String> parseFields(String text) {
-        Map<String, String> fields = new LinkedHashMap<>();
-        Matcher matcher = FIELD.matcher(text);
-        while (matcher.find()) {
-            fields.put(matcher.group(1), matcher.group(2));
-        }
-        return fields;
-    }
-
-    /** A log line with its fields by name. */
-    private record LogLine(String source, String time, String event, Map<String, String> fields) {}
 }
--- a/operator/src/main/java/io/cranberryarch/operator/RouteCommand.java
+++ b/operator/src/main/java/io/cranberryarch/operator/RouteCommand.java
@@ -10,10 +10,10 @@
 import picocli.CommandLine.Parameters;
 
 /** Creates and lists routes. */
-@Command(name = "route", description = "Creates and lists routes.")
+@Command(name = "route", description = "Creates and lists routes.", mixinStandardHelpOptions = true)
 public final class RouteCommand {
 
-    @Command(name = "create", description = "Creates or replaces a route.")
+    @Command(name = "create", description = "Creates or replaces a route.", mixinStandardHelpOptions = true)
     int create(
             @Mixin NodeOptions node,
             @Option(names = "--team", required = true, description = "the team that owns it") String team,
@@ -41,7 +41,7 @@
         }
     }
 
-    @Command(name = "list", description = "Lists the routes of a team.")
+    @Command(name = "list", description = "Lists the routes of a team.", mixinStandardHelpOptions = true)
     int list(@Mixin NodeOptions node, @Option(names = "--team", required = true) String team) throws CommandException {
         try (AdminClient client = node.connect()) {
             client.readSettings("/teams/" + team + "/routes")
--- a/operator/src/main/java/io/cranberryarch/operator/SettingsCommand.java
+++ b/operator/src/main/java/io/cranberryarch/operator/SettingsCommand.java
@@ -14,10 +14,13 @@
 import picocli.CommandLine.Parameters;
 
 /** Reads and changes the shared settings by path. */
-@Command(name = "settings", description = "Reads and changes the shared settings by path.")
+@Command(
+        name = "settings",
+        description = "Reads and changes the shared settings by path.",
+        mixinStandardHelpOptions = true)
 public final class SettingsCommand {
 
-    @Command(name = "get", description = "Prints one value.")
+    @Command(name = "get", description = "Prints one value.", mixinStandardHelpOptions = true)
     int get(@Mixin NodeOptions node, @Parameters(paramLabel = "PATH") String path) throws CommandException {
         try (AdminClient client = node.connect()) {
             String value = client.readSettings(path).values().get(path);
@@ -29,7 +32,7 @@
         }
     }
 
-    @Command(name = "list", description = "Prints all values of a subtree.")
+    @Command(name = "list", description = "Prints all values of a subtree.", mixinStandardHelpOptions = true)
     int list(@Mixin NodeOptions node, @Parameters(paramLabel = "PATH", defaultValue = "/") String path)
             throws CommandException {
         try (AdminClient client = node.connect()) {
@@ -40,7 +43,10 @@
         }
     }
 
-    @Command(name = "set", description = "Sets values as PATH=VALUE, or removes a path given as PATH= .")
+    @Command(
+            name = "set",
+            description = "Sets values as PATH=VALUE, or removes a path given as PATH= .",
+            mixinStandardHelpOptions = true)
     int set(
             @Mixin NodeOptions node,
             @Option(names = "--base", description = "the version that the change is based on; default: the latest")
@@ -55,7 +61,10 @@
         }
     }
 
-    @Command(name = "history", description = "Prints the changes of a subtree, newest last.")
+    @Command(
+            name = "history",
+            description = "Prints the changes of a subtree, newest last.",
+            mixinStandardHelpOptions = true)
     int history(@Mixin NodeOptions node, @Parameters(paramLabel = "PATH", defaultValue = "/") String path)
             throws CommandException {
         try (AdminClient client = node.connect()) {
@@ -69,7 +78,7 @@
         }
     }
 
-    @Command(name = "diff", description = "Prints what changed after a version.")
+    @Command(name = "diff", description = "Prints what changed after a version.", mixinStandardHelpOptions = true)
     int diff(
             @Mixin NodeOptions node,
             @Option(names = "--since", required = true, description = "the version to compare with") long since,
--- a/operator/src/main/java/io/cranberryarch/operator/StatusCommand.java
+++ b/operator/src/main/java/io/cranberryarch/operator/StatusCommand.java
@@ -6,7 +6,10 @@
 import picocli.CommandLine.Mixin;
 
 /** Prints the state of a node and its view of the members. */
-@Command(name = "status", description = "Prints the state of a node and its view of the members.")
+@Command(
+        name = "status",
+        description = "Prints the state of a node and its view of the members.",
+        mixinStandardHelpOptions = true)
 public final class StatusCommand implements Callable<Integer> {
 
     @Mixin
--- a/standin/src/main/java/io/cranberryarch/standin/StandinCommand.java
+++ b/standin/src/main/java/io/cranberryarch/standin/StandinCommand.java
@@ -20,7 +20,8 @@
             StandinCommand.PlatformCommand.class,
             StandinCommand.UpstreamCommand.class,
             StandinCommand.CallerCommand.class
-        })
+        },
+        mixinStandardHelpOptions = true)
 public final class StandinCommand {
 
     private static final long ANNOUNCE_INTERVAL_MS = 300;
@@ -32,7 +33,10 @@
     }
 
     /** Runs a platform stand-in. */
-    @Command(name = "platform", description = "Runs the platform's table and object store in memory.")
+    @Command(
+            name = "platform",
+            description = "Runs the platform's table and object store in memory.",
+            mixinStandardHelpOptions = true)
     static final class PlatformCommand implements Callable<Integer> {
 
         @Option(names = "--port", defaultValue = "0", description = "the port, 0 to let the operating system choose")
@@ -49,7 +53,10 @@
     }
 
     /** Runs an upstream stand-in. */
-    @Command(name = "upstream", description = "Runs an upstream that announces itself to its node.")
+    @Command(
+            name = "upstream",
+            description = "Runs an upstream that announces itself to its node.",
+            mixinStandardHelpOptions = true)
     static final class UpstreamCommand implements Callable<Integer> {
 
         @Option(names = "--name", required = true, description = "the name that it includes in its answers")
@@ -90,7 +97,10 @@
     }
 
     /** Runs a caller stand-in. */
-    @Command(name = "caller", description = "Sends requests and checks the statuses of the answers.")
+    @Command(
+            name = "caller",
+            description = "Sends requests and checks the statuses of the answers.",
+            mixinStandardHelpOptions = true)
     static final class CallerCommand implements Callable<Integer> {
 
         @Option(names = "--url", required = true, description = "the address with path and query")
