A failed nested call is told in the reason of the answer; tests of the match by identifier

The flag had become a new field of FORWARD_ANSWER, which a node of the build before would have rejected as trailing bytes during a rolling upgrade. The reason of an answer was always empty and is ignored there, so it carries the flag now. Tests: a nested call with a shorter time limit is matched by the identifier of its parent, from the own machine only; a nested run is not repeated for a call that its service failed (fails without the flag).

--- a/context/src/main/java/io/cranberryarch/context/ForwardedAnswer.java
+++ b/context/src/main/java/io/cranberryarch/context/ForwardedAnswer.java
@@ -7,7 +7,7 @@
  * The outcome of a forwarded request at the node of an instance.
  *
  * @param execution whether the request ran
- * @param reason the reason why there is no answer of the upstream, empty if there is one
+ * @param reason the reason why there is no answer of the upstream, or {@link #NESTED_CALL_FAILED}; else empty
  * @param status the status of the upstream's answer, 0 if there is none
  * @param headers the headers of the upstream's answer
  * @param body the complete body of the upstream's answer, not copied
@@ -15,7 +15,6 @@
  * @param limit the maximum number of requests that the instance runs concurrently
  * @param inFlight the number of requests that run or wait at the instance
  * @param upstreamFailureRatio the ratio of requests that fail at the upstream itself, from 0 to 1
- * @param isNestedCallFailed whether a nested call failed because of the service that it was sent to
  */
 @SuppressWarnings("ArrayRecordComponent")
 public record ForwardedAnswer(
@@ -27,8 +26,10 @@
         Map<String, Double> slotTimesMs,
         int limit,
         int inFlight,
-        double upstreamFailureRatio,
-        boolean isNestedCallFailed) {
+        double upstreamFailureRatio) {
+
+    /** The reason of an answer of the upstream after the service of a nested call had failed or refused the call. */
+    public static final String NESTED_CALL_FAILED = "nested-call-failed";
 
     private static final byte[] NO_BODY = new byte[0];
 
@@ -56,7 +57,7 @@
     public static ForwardedAnswer ofFailure(
             Execution execution, String reason, int limit, int inFlight, double upstreamFailureRatio) {
         return new ForwardedAnswer(
-                execution, reason, 0, List.of(), NO_BODY, Map.of(), limit, inFlight, upstreamFailureRatio, false);
+                execution, reason, 0, List.of(), NO_BODY, Map.of(), limit, inFlight, upstreamFailureRatio);
     }
 
     /**
@@ -68,6 +69,16 @@
         return status != 0;
     }
 
+    /**
+     * Checks whether a nested call of the run failed because of the service that it was sent to, so that it would fail
+     * in a repeated run as well.
+     *
+     * @return whether such a call failed before the upstream answered
+     */
+    public boolean isNestedCallFailed() {
+        return isAnswered() && reason.equals(NESTED_CALL_FAILED);
+    }
+
     /**
      * Creates a copy with other headers.
      *
@@ -76,15 +87,6 @@
      */
     public ForwardedAnswer withHeaders(List<HeaderField> newHeaders) {
         return new ForwardedAnswer(
-                execution,
-                reason,
-                status,
-                newHeaders,
-                body,
-                slotTimesMs,
-                limit,
-                inFlight,
-                upstreamFailureRatio,
-                isNestedCallFailed);
+                execution, reason, status, newHeaders, body, slotTimesMs, limit, inFlight, upstreamFailureRatio);
     }
 }
--- a/mesh/src/main/java/io/cranberryarch/mesh/Gate.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/Gate.java
@@ -262,15 +262,14 @@
             List<HeaderField> headers = HttpHeaders.toEndToEnd(response.headers(), echoedHeaders);
             end(new ForwardedAnswer(
                     Execution.RUN,
-                    "",
+                    isCallFailedByService ? ForwardedAnswer.NESTED_CALL_FAILED : "",
                     response.status(),
                     headers,
                     response.body(),
                     slotTimesMs,
                     getLimit(),
                     countInFlight(),
-                    getFailureRatio(),
-                    isCallFailedByService));
+                    getFailureRatio()));
         }
 
         @Override
--- a/mesh/src/test/java/io/cranberryarch/mesh/EntryServiceTest.java
+++ b/mesh/src/test/java/io/cranberryarch/mesh/EntryServiceTest.java
@@ -6,6 +6,8 @@
 import io.cranberryarch.net.HttpExchange;
 import io.cranberryarch.net.HttpRequestMessage;
 import io.cranberryarch.settings.serving.AccountRule;
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.net.http.HttpResponse;
@@ -64,20 +66,66 @@
         assertEquals("root", TestFleet.get(run.answer()).body());
     }
 
+    /** The time limit of a nested call may end long before its run, so that its deadline does not identify the run. */
     @Test
-    void keylessRequestFromAnotherHostIsNotANestedCall() throws Exception {
+    void nestedCallWithAShorterTimeLimitIsMatchedByTheIdentifierOfItsParent() throws Exception {
         Run run = startRun();
         near.upstream().setBehaviour(nested -> near.upstream().respond(nested, 200, "nested"));
-        int port = near.getEntryPort();
+        String parentId = findRequestId(run.exchange());
+        assertTrue(sendKeyless("127.0.0.1", parentId + ".1", "900").startsWith("HTTP/1.1 200 "));
+        assertTrue(sendKeyless("127.0.0.1", parentId, "900").startsWith("HTTP/1.1 503 "));
+        assertTrue(sendKeyless("127.0.0.1", "other.1", "900").startsWith("HTTP/1.1 503 "));
+        assertTrue(sendKeyless("127.0.0.2", parentId + ".1", "900").startsWith("HTTP/1.1 401 "));
+        run.answer().cancel(true);
+    }
+
+    /** The call has been repeated at its own node; a repeat of the run would make all its calls again. */
+    @Test
+    void nestedRunIsNotRepeatedForACallThatItsServiceFailed() throws Exception {
+        Run root = startRun();
+        String rootId = findRequestId(root.exchange());
+        CompletableFuture<HttpExchange> nested = new CompletableFuture<>();
+        near.upstream().setBehaviour(nested::complete);
+        CompletableFuture<String> nestedAnswer =
+                CompletableFuture.supplyAsync(() -> sendKeyless("127.0.0.1", rootId + ".1", "3000"));
+        HttpExchange nestedRun = TestFleet.get(nested);
+        near.upstream().setBehaviour(near.upstream()::reject);
+        far.upstream().setBehaviour(far.upstream()::reject);
+        assertTrue(sendKeyless("127.0.0.1", rootId + ".1.1", "900").startsWith("HTTP/1.1 503 "));
+        int arrivedCount = far.upstream().getArrived().size();
+        near.upstream().execute(() -> near.upstream().respond(nestedRun, 500, "failed"));
+        assertTrue(TestFleet.get(nestedAnswer).startsWith("HTTP/1.1 500 "));
+        assertEquals(arrivedCount, far.upstream().getArrived().size());
+        root.answer().cancel(true);
+    }
+
+    private static String findRequestId(HttpExchange exchange) {
+        return exchange.getRequest()
+                .findHeader(TestHeaderNames.NAMES.requestId())
+                .orElseThrow();
+    }
+
+    /** Sends a request without a key from a local address and returns the response as text. */
+    private String sendKeyless(String localAddress, String requestId, String timeoutMs) {
         try (Socket client = new Socket()) {
-            client.bind(new InetSocketAddress("127.0.0.2", 0));
-            client.connect(new InetSocketAddress("127.0.0.1", port));
-            String head = "GET /read/8 HTTP/1.1\r\nHost: 127.0.0.1\r\n" + TestHeaderNames.NAMES.timeoutMs() + ": "
-                    + toRemainingMs(run.exchange()) + "\r\nConnection: close\r\n\r\n";
+            client.bind(new InetSocketAddress(localAddress, 0));
+            client.connect(new InetSocketAddress("127.0.0.1", near.getEntryPort()));
+            String head = "GET /read/8 HTTP/1.1\r\nHost: 127.0.0.1\r\n" + TestHeaderNames.NAMES.requestId() + ": "
+                    + requestId + "\r\n" + TestHeaderNames.NAMES.timeoutMs() + ": " + timeoutMs
+                    + "\r\nConnection: close\r\n\r\n";
             client.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
-            String answer = new String(client.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
-            assertTrue(answer.startsWith("HTTP/1.1 401 "), answer);
+            return new String(client.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
         }
+    }
+
+    @Test
+    void keylessRequestFromAnotherHostIsNotANestedCall() throws Exception {
+        Run run = startRun();
+        near.upstream().setBehaviour(nested -> near.upstream().respond(nested, 200, "nested"));
+        String answer = sendKeyless("127.0.0.2", "any", toRemainingMs(run.exchange()));
+        assertTrue(answer.startsWith("HTTP/1.1 401 "), answer);
         run.answer().cancel(true);
     }
 
--- a/wire/src/main/java/io/cranberryarch/wire/ForwardAnswerMessage.java
+++ b/wire/src/main/java/io/cranberryarch/wire/ForwardAnswerMessage.java
@@ -25,8 +25,7 @@
                 FieldCodec.readAmounts(in),
                 in.unpackInt(),
                 in.unpackInt(),
-                in.unpackFloat(),
-                in.unpackBoolean()));
+                in.unpackFloat()));
     }
 
     @Override
@@ -45,6 +44,5 @@
         out.packInt(answer.limit());
         out.packInt(answer.inFlight());
         out.packFloat((float) answer.upstreamFailureRatio());
-        out.packBoolean(answer.isNestedCallFailed());
     }
 }
