--- a/decision/src/main/java/io/cranberryarch/decision/serving/FailureRatio.java
+++ b/decision/src/main/java/io/cranberryarch/decision/serving/FailureRatio.java
@@ -3,6 +3,11 @@
 /** A moving average of the failure ratio that decays while no outcomes are recorded. Not thread-safe. */
 public final class FailureRatio {
 
+    /** The weight of the newest outcome and the half-life for all requests of an upstream. */
+    private static final double UPSTREAM_NEWEST_WEIGHT = 0.05;
+
+    private static final double UPSTREAM_HALF_LIFE_MS = 3_000;
+
     private final double newestWeight;
     private final double halfLifeMs;
     private double ratio;
@@ -19,6 +24,15 @@
         this.halfLifeMs = halfLifeMs;
     }
 
+    /**
+     * Creates a ratio of zero for the requests that one upstream fails by itself.
+     *
+     * @return the ratio
+     */
+    public static FailureRatio ofUpstream() {
+        return new FailureRatio(UPSTREAM_NEWEST_WEIGHT, UPSTREAM_HALF_LIFE_MS);
+    }
+
     /**
      * Records an outcome.
      *
--- a/decision/src/main/java/io/cranberryarch/decision/serving/LoadShedding.java
+++ b/decision/src/main/java/io/cranberryarch/decision/serving/LoadShedding.java
@@ -25,8 +25,23 @@
     /** The additional load above which the next more important rank is refused. */
     private static final double RANK_LOAD_OFFSET_RATIO = 1.0;
 
+    /** The range of Retry-After times of requests that are refused for overload. */
+    private static final long MIN_RETRY_AFTER_MS = 300;
+
+    private static final long MAX_RETRY_AFTER_MS = 1_500;
+
     private LoadShedding() {}
 
+    /**
+     * Returns the Retry-After time of a refused request, spread so that refused callers do not all retry at once.
+     *
+     * @param draw a random number from 0 to 1
+     * @return a time in milliseconds
+     */
+    public static long toRetryAfterMs(double draw) {
+        return MIN_RETRY_AFTER_MS + Math.round(draw * (MAX_RETRY_AFTER_MS - MIN_RETRY_AFTER_MS));
+    }
+
     /**
      * Returns the ratio of requests to refuse.
      *
--- a/decision/src/main/java/io/cranberryarch/decision/serving/SlotScheduler.java
+++ b/decision/src/main/java/io/cranberryarch/decision/serving/SlotScheduler.java
@@ -26,6 +26,9 @@
 
     private static final double INITIAL_DURATION_MS = 50;
 
+    /** The share of the slots reserved for new connections and health checks, which briefly occupy a slot. */
+    private static final double RESERVED_SLOT_RATIO = 0.05;
+
     private final RankQueue<T> waiting = new RankQueue<>();
     private final Set<T> running = new HashSet<>();
     private double meanDurationMs = INITIAL_DURATION_MS;
@@ -40,6 +43,16 @@
         REFUSE
     }
 
+    /**
+     * Returns the limit for an upstream. Some upstreams slow down when nearly all slots are in use.
+     *
+     * @param slots the number of requests that the upstream runs concurrently
+     * @return the number of slots without the reserved ones, at least 1
+     */
+    public static int toLimit(int slots) {
+        return Math.max(1, slots - (int) Math.ceil(slots * RESERVED_SLOT_RATIO));
+    }
+
     /**
      * Decides what to do with a new request.
      *
--- a/decision/src/test/java/io/cranberryarch/decision/serving/LoadSheddingTest.java
+++ b/decision/src/test/java/io/cranberryarch/decision/serving/LoadSheddingTest.java
@@ -41,4 +41,11 @@
         assertEquals(0, LoadShedding.toRefusedRatio(load, 1, 3, false));
         assertEquals(0, LoadShedding.toRefusedRatio(load, 0, 3, false));
     }
+
+    @Test
+    void retryAfterTimesAreSpread() {
+        assertEquals(300, LoadShedding.toRetryAfterMs(0));
+        assertEquals(900, LoadShedding.toRetryAfterMs(0.5));
+        assertTrue(LoadShedding.toRetryAfterMs(0.9999) <= 1_500);
+    }
 }
--- a/decision/src/test/java/io/cranberryarch/decision/serving/SlotSchedulerTest.java
+++ b/decision/src/test/java/io/cranberryarch/decision/serving/SlotSchedulerTest.java
@@ -13,6 +13,18 @@
 
     private final SlotScheduler<String> scheduler = new SlotScheduler<>();
 
+    /** An upstream may slow down when nearly all slots are in use, so at least 5 % stay free. */
+    @Test
+    void limitLeavesAtLeastOneSlotInTwentyFree() {
+        assertEquals(19, SlotScheduler.toLimit(20));
+        assertEquals(19, SlotScheduler.toLimit(21));
+        assertEquals(106, SlotScheduler.toLimit(112));
+        assertEquals(1, SlotScheduler.toLimit(1));
+        for (int slots = 2; slots < 500; slots++) {
+            assertTrue(SlotScheduler.toLimit(slots) <= 0.95 * slots, "limit of " + slots);
+        }
+    }
+
     @Test
     void requestsRunUpToTheLimitAndTheOthersWait() {
         assertEquals(Decision.START, scheduler.offer("a", 0, 1_000, 2, 0));
--- a/experiment/src/main/java/io/cranberryarch/experiment/serving/ModelCallers.java
+++ b/experiment/src/main/java/io/cranberryarch/experiment/serving/ModelCallers.java
@@ -1,5 +1,6 @@
 package io.cranberryarch.experiment.serving;
 
+import io.cranberryarch.decision.serving.LoadShedding;
 import io.cranberryarch.decision.serving.OverloadDetector;
 import io.cranberryarch.decision.serving.SendOutcome;
 import io.cranberryarch.experiment.serving.ServingScenario.RequestSpec;
@@ -10,8 +11,6 @@
 final class ModelCallers {
 
     private static final double MS_PER_S = 1_000;
-    private static final long MIN_RETRY_AFTER_MS = 300;
-    private static final long MAX_RETRY_AFTER_MS = 1_500;
 
     /** The part of their remaining time that callers wait at most when told to come back later. */
     private static final double MAX_WAIT_RATIO = 1.0 / 3;
@@ -85,7 +84,7 @@
         }
 
         private long drawRetryAfterMs() {
-            return MIN_RETRY_AFTER_MS + (long) (fleet.draw() * (MAX_RETRY_AFTER_MS - MIN_RETRY_AFTER_MS));
+            return LoadShedding.toRetryAfterMs(fleet.draw());
         }
 
         private void onAnswer(ModelNode entry, ModelAnswer answer) {
--- a/experiment/src/main/java/io/cranberryarch/experiment/serving/ModelNode.java
+++ b/experiment/src/main/java/io/cranberryarch/experiment/serving/ModelNode.java
@@ -22,19 +22,13 @@
 /** A node beside an instance: the state of its decisions, and its knowledge of the other nodes. */
 final class ModelNode implements FleetView {
 
-    private static final double FAILURE_SMOOTHING_FACTOR = 0.05;
-    private static final double FAILURE_HALF_LIFE_MS = 3_000;
-
-    /** The share of the slots that a node does not use, as on a real instance. */
-    private static final double RESERVED_SLOT_RATIO = 0.05;
-
     private final ModelFleet fleet;
     private final ServiceSpec service;
     private final int index;
     private final int zone;
     private final double speed;
     private final SlotScheduler<ModelRun> scheduler = new SlotScheduler<>();
-    private final FailureRatio failures = new FailureRatio(FAILURE_SMOOTHING_FACTOR, FAILURE_HALF_LIFE_MS);
+    private final FailureRatio failures = FailureRatio.ofUpstream();
     private final RouteCosts costs = new RouteCosts();
     private final WorkDemand demand = new WorkDemand();
     private final OverloadDetector detector = new OverloadDetector(this, costs, demand);
@@ -106,7 +100,7 @@
     }
 
     int getLimit() {
-        return Math.max(1, service.slots() - Math.max(1, (int) Math.round(service.slots() * RESERVED_SLOT_RATIO)));
+        return SlotScheduler.toLimit(service.slots());
     }
 
     int countInFlight() {
--- a/mesh/src/main/java/io/cranberryarch/mesh/EntryAdmission.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/EntryAdmission.java
@@ -1,5 +1,6 @@
 package io.cranberryarch.mesh;
 
+import io.cranberryarch.decision.serving.LoadShedding;
 import io.cranberryarch.decision.serving.OverloadDetector;
 import io.cranberryarch.decision.serving.RetryAfterTracker;
 import io.cranberryarch.net.HttpRequestMessage;
@@ -9,16 +10,10 @@
 import java.util.Arrays;
 import java.util.Locale;
 import java.util.Optional;
-import java.util.concurrent.ThreadLocalRandom;
 
 /** Refuses new call trees while a service that they need is overloaded, each with a randomized Retry-After time. */
 final class EntryAdmission {
 
-    /** The range of Retry-After times of requests that are refused for overload. */
-    private static final long MIN_RETRY_AFTER_MS = 300;
-
-    private static final long MAX_RETRY_AFTER_MS = 1_500;
-
     private final OverloadDetector detector;
     private final RetryAfterTracker retryAfterTracker = new RetryAfterTracker();
 
@@ -59,13 +54,9 @@
         return Optional.of(new Rejection(overload.get(), rank, isReturning, retryAfterMs));
     }
 
-    /**
-     * Returns a random Retry-After time, so that refused callers do not all retry at once.
-     *
-     * @return a time in milliseconds
-     */
+    /** Returns a random Retry-After time in milliseconds. */
     static long randomRetryAfterMs() {
-        return ThreadLocalRandom.current().nextLong(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS);
+        return LoadShedding.toRetryAfterMs(Math.random());
     }
 
     /** Returns a hash that identifies a refused request when its caller sends it again under another identifier. */
--- a/mesh/src/main/java/io/cranberryarch/mesh/Gate.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/Gate.java
@@ -29,14 +29,6 @@
  */
 final class Gate {
 
-    /** The share of the slots reserved for new connections and health checks, which briefly occupy a slot. */
-    private static final double RESERVED_SLOT_RATIO = 0.05;
-
-    /** The weight of the newest outcome in the upstream's failure ratio, and the half-life of that ratio. */
-    private static final double FAILURE_SMOOTHING_FACTOR = 0.05;
-
-    private static final double FAILURE_HALF_LIFE_MS = 3_000;
-
     private static final int MIN_SERVER_ERROR_STATUS = 500;
 
     /** How long after its last run, or after the start of the node, the upstream may still make nested calls. */
@@ -50,7 +42,7 @@
     private final HttpClientPool connections;
     private final SlotScheduler<Run> scheduler = new SlotScheduler<>();
     private final RunRegistry<Run> runRegistry = new RunRegistry<>();
-    private final FailureRatio failures = new FailureRatio(FAILURE_SMOOTHING_FACTOR, FAILURE_HALF_LIFE_MS);
+    private final FailureRatio failures = FailureRatio.ofUpstream();
     private final UpstreamState upstream;
     private final Set<String> echoedHeaders;
     private long lastRunEndedAtMs;
@@ -105,8 +97,7 @@
     }
 
     int getLimit() {
-        int slots = upstream.getSlots();
-        return Math.max(1, slots - (int) Math.ceil(slots * RESERVED_SLOT_RATIO));
+        return SlotScheduler.toLimit(upstream.getSlots());
     }
 
     /** Returns the share of requests that fail because of the upstream itself, from 0 to 1. */
