--- a/experiment/src/main/java/io/cranberryarch/experiment/serving/ModelRun.java
+++ b/experiment/src/main/java/io/cranberryarch/experiment/serving/ModelRun.java
@@ -8,6 +8,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Consumer;
 
 /** A request at the node of the instance that runs it: waits for a slot, works, and makes its nested calls in turn. */
@@ -24,7 +25,7 @@
     private final Consumer<ModelAnswer> callback;
     private final Map<String, Double> slotTimesMs = new HashMap<>();
     private final List<String> remainingCalls = new ArrayList<>();
-    private ModelSend activeCall;
+    private Optional<ModelSend> activeCall = Optional.empty();
     private long startedAtMs;
     private int servedCalls;
     private boolean isDone;
@@ -85,8 +86,9 @@
         ModelFleet fleet = node.getFleet();
         RequestSpec call = fleet.getScenario().requests().get(remainingCalls.remove(remainingCalls.size() - 1));
         ModelRequest nested = request.toNested(call, fleet.nowMs());
-        activeCall = new ModelSend(node, nested, RepeatBudget.toProgress(servedCalls), this::onNestedAnswer);
-        activeCall.start();
+        ModelSend send = new ModelSend(node, nested, RepeatBudget.toProgress(servedCalls), this::onNestedAnswer);
+        activeCall = Optional.of(send);
+        send.start();
     }
 
     private void onNestedAnswer(ModelAnswer answer) {
@@ -142,9 +144,7 @@
 
     private void release() {
         isDone = true;
-        if (activeCall != null) {
-            activeCall.cancel();
-        }
+        activeCall.ifPresent(ModelSend::cancel);
         node.getScheduler().release(this);
         node.getScheduler().pollNext(node.getLimit()).ifPresent(ModelRun::start);
     }
--- a/experiment/src/main/java/io/cranberryarch/experiment/serving/RunCommand.java
+++ b/experiment/src/main/java/io/cranberryarch/experiment/serving/RunCommand.java
@@ -17,6 +17,7 @@
 import picocli.CommandLine.ITypeConverter;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
+import picocli.CommandLine.ParameterException;
 import picocli.CommandLine.Parameters;
 import picocli.CommandLine.Spec;
 import picocli.CommandLine.TypeConversionException;
@@ -61,7 +62,7 @@
     public Integer call() throws IOException, SettingsException {
         PrintWriter out = command.commandLine().getOut();
         if (seeds < 1) {
-            throw new IllegalArgumentException("--seeds: expected at least 1, found " + seeds);
+            throw new ParameterException(command.commandLine(), "--seeds: expected at least 1, found " + seeds);
         }
         List<ServingScenario> scenarios = new ArrayList<>();
         for (Path file : files) {
--- a/experiment/src/main/java/io/cranberryarch/experiment/serving/ScenarioReader.java
+++ b/experiment/src/main/java/io/cranberryarch/experiment/serving/ScenarioReader.java
@@ -15,6 +15,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /** Reads scenarios from INI files, see docs/EXPERIMENT.md. */
 final class ScenarioReader {
@@ -44,8 +45,9 @@
     static ServingScenario read(Path file) throws IOException, SettingsException {
         ScenarioReader reader = new ScenarioReader(IniFile.read(file));
         String name = file.getFileName().toString().replaceFirst("\\.[^.]*$", "");
+        Map<String, ServiceSpec> services = reader.readServices();
         ServingScenario scenario = new ServingScenario(
-                name, reader.readFleet(), reader.readServices(), reader.readRequests(), reader.readFaults());
+                name, reader.readFleet(), services, reader.readRequests(), reader.readFaults(services.keySet()));
         reader.checkReferences(scenario);
         reader.ini.rejectUnknown();
         reader.ini.throwFaults();
@@ -123,18 +125,22 @@
                 .toList();
     }
 
-    private List<FaultSpec> readFaults() {
+    private List<FaultSpec> readFaults(Set<String> services) {
         List<FaultSpec> faults = new ArrayList<>();
         List<String> kinds =
                 Arrays.stream(FaultKind.values()).map(FaultKind::toText).toList();
         for (String name : ini.findSections("fault")) {
             String section = "fault " + name;
             String kind = ini.readChoice(section, "kind", kinds.get(0), kinds);
+            String service = ini.readOptional(section, "service", NAME).orElse("");
+            if (!service.isEmpty() && !services.contains(service)) {
+                ini.addFault(section, "service", "the name of a service section");
+            }
             faults.add(new FaultSpec(
                     FaultKind.values()[Math.max(0, kinds.indexOf(kind))],
                     Math.round(readNumber(section, "at-s", Optional.empty()) * MS_PER_S),
                     Math.round(readNumber(section, "for-s", Optional.empty()) * MS_PER_S),
-                    ini.readOptional(section, "service", NAME).orElse(""),
+                    service,
                     readNumber(section, "share", Optional.of(1.0)),
                     readNumber(section, "strength", Optional.empty())));
         }
@@ -156,11 +162,6 @@
                 ini.addFault(section, "calls", "names of request sections that do not call each other in a circle");
             }
         }
-        for (FaultSpec fault : scenario.faults()) {
-            if (!fault.service().isEmpty() && !scenario.services().containsKey(fault.service())) {
-                ini.addFault("fault " + fault.kind().toText(), "service", "the name of a service section");
-            }
-        }
         if (scenario.toCallerRequests().isEmpty()) {
             ini.addFault("fleet", "length-s", "a request section with per-s above 0 in the file");
         }
--- a/experiment/src/test/java/io/cranberryarch/experiment/serving/RunCommandTest.java
+++ b/experiment/src/test/java/io/cranberryarch/experiment/serving/RunCommandTest.java
@@ -66,6 +66,12 @@
         assertTrue(errors.toString().contains("rank-queue"), errors.toString());
     }
 
+    @Test
+    void numberOfSeedsIsChecked() {
+        assertEquals(2, run("run", "any.ini", "--seeds", "0"));
+        assertTrue(errors.toString().contains("--seeds: expected at least 1"), errors.toString());
+    }
+
     @Test
     void helpIsPrinted() {
         assertEquals(0, run("run", "--help"));
--- a/experiment/src/test/java/io/cranberryarch/experiment/serving/ScenarioReaderTest.java
+++ b/experiment/src/test/java/io/cranberryarch/experiment/serving/ScenarioReaderTest.java
@@ -69,6 +69,28 @@
         assertTrue(failure.getMessage().contains("small.ini:8: [request read] colour"), failure.getMessage());
     }
 
+    @Test
+    void reportsUnknownServiceOfAFault() {
+        SettingsException failure = assertThrows(
+                SettingsException.class,
+                () -> read(
+                        "[service stock]",
+                        "instances = 1",
+                        "slots = 1",
+                        "[request read]",
+                        "service = stock",
+                        "per-s = 1",
+                        "work-ms = 1",
+                        "[fault one]",
+                        "kind = slow",
+                        "at-s = 1",
+                        "for-s = 1",
+                        "service = shop",
+                        "strength = 2"));
+        assertEquals(1, failure.getFaults().size(), failure.getMessage());
+        assertTrue(failure.getMessage().contains("small.ini:12: [fault one] service"), failure.getMessage());
+    }
+
     @Test
     void rejectsRequestsThatCallEachOtherInACircle() {
         SettingsException failure = assertThrows(
