--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -25,6 +25,7 @@
 STAMP = "X-Cranberryarch-Response-Stamp"
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
 MAX_CASE_S = 115
+LAST_LOG_LINES = 3
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 # The bounds of the small deployments (SYSTEM.md), in seconds.
@@ -489,6 +490,10 @@
             if node.process and node.process.returncode is None:
                 node.process.kill()
                 await node.process.wait()
+            if node.process:
+                with open(node.log_file, encoding="utf-8", errors="replace") as log:
+                    for line in log.readlines()[-LAST_LOG_LINES:]:
+                        self.record.write(f"{node.name} logged: {line.rstrip()}")
         if os.environ.get("KEEP_LOGS"):
             print("logs:", self.folder)
         else:
