--- a/mesh/src/main/java/io/cranberryarch/mesh/EntryService.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/EntryService.java
@@ -372,7 +372,11 @@
                         + parent.map(run -> " parent=" + run.getRequest().requestId())
                                 .orElse("")
                         + " status=" + status + " outcome=" + outcome + " took-ms=" + tookMs + " rules-version="
-                        + rules.getVersion() + " rules-age-ms=" + rules.getAgeMs()
+                        + rules.getVersion() + " rules-age-ms=" + rules.getAgeMs() + " store-age-ms="
+                        + rules.getStoreAgeMs()
+                        + rules.findStallAgeMs()
+                                .map(ageMs -> " since-stall-ms=" + ageMs)
+                                .orElse("")
                         + attempts.map(Forwarder.Attempts::toLogFields).orElse("") + logDetails.get());
             }
         }
--- a/mesh/src/main/java/io/cranberryarch/mesh/MeshNode.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/MeshNode.java
@@ -6,6 +6,7 @@
 import io.cranberryarch.counts.CountsSource;
 import io.cranberryarch.decision.serving.OverloadDetector;
 import io.cranberryarch.decision.serving.RouteCosts;
+import io.cranberryarch.decision.serving.StallDetector;
 import io.cranberryarch.decision.serving.WorkDemand;
 import io.cranberryarch.net.ByteBudget;
 import io.cranberryarch.net.EventLoop;
@@ -52,8 +53,6 @@
     /** Maximum time that shutdown waits for the store to acknowledge the last counts; the report shows their loss. */
     private static final long FINAL_COUNTS_TIMEOUT_MS = 500;
 
-    private static final long REPORT_CHECK_INTERVAL_MS = 250;
-
     /** Maximum size of the body of an upstream response. */
     private static final int MAX_RESPONSE_BODY_BYTES = 16 * 1024 * 1024;
 
@@ -156,8 +155,10 @@
         rules.addListener(() -> rules.getRules().ifPresent(quotas::onRules));
         rules.addListener(peerService::broadcastStatus);
         rules.addListener(this::probeUpstream);
-        loop.scheduleWithFixedDelay(
-                REPORT_CHECK_INTERVAL_MS, () -> upstream.checkReports(this.settings.reportIntervalMs()));
+        loop.scheduleWithFixedDelay(StallDetector.CHECK_INTERVAL_MS, () -> {
+            rules.checkStall();
+            upstream.checkReports(this.settings.reportIntervalMs());
+        });
         addGauges();
     }
 
--- a/mesh/src/main/java/io/cranberryarch/mesh/RulesService.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/RulesService.java
@@ -1,6 +1,7 @@
 package io.cranberryarch.mesh;
 
 import io.cranberryarch.decision.serving.LongPollSchedule;
+import io.cranberryarch.decision.serving.StallDetector;
 import io.cranberryarch.net.EventLoop;
 import io.cranberryarch.settings.SettingsException;
 import io.cranberryarch.settings.serving.ServingRules;
@@ -33,6 +34,8 @@
     private long lastStoreResponseAtMs;
     private long rulesChangedAtMs;
     private Optional<Poll> poll = Optional.empty();
+    private final StallDetector stalls;
+    private long stalledAtMs = Long.MIN_VALUE;
 
     RulesService(EventLoop loop, SharedStore store, RulesReader reader, PeerDirectory peers, EventLog log) {
         this.loop = loop;
@@ -42,6 +45,7 @@
         this.log = log;
         this.lastStoreResponseAtMs = loop.nowMs();
         this.rulesChangedAtMs = loop.nowMs();
+        this.stalls = new StallDetector(loop.nowMs());
     }
 
     void addListener(Runnable listener) {
@@ -70,6 +74,21 @@
         return loop.nowMs() - lastStoreResponseAtMs;
     }
 
+    /** Detects that the process did not run for some time. Must be called at short intervals. */
+    void checkStall() {
+        Optional<Long> stallMs = stalls.onTurn(loop.nowMs());
+        if (stallMs.isPresent()) {
+            stalledAtMs = loop.nowMs();
+            log.info("event=process-stalled stall-ms=" + stallMs.get() + " version-in-force=" + getVersion()
+                    + " store-age-ms=" + getStoreAgeMs());
+        }
+    }
+
+    /** Returns the milliseconds since the process last stalled, or empty if it has not. */
+    Optional<Long> findStallAgeMs() {
+        return stalledAtMs == Long.MIN_VALUE ? Optional.empty() : Optional.of(loop.nowMs() - stalledAtMs);
+    }
+
     Optional<byte[]> getDocument() {
         return document;
     }
--- a/mesh/src/main/java/io/cranberryarch/mesh/UpstreamState.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/UpstreamState.java
@@ -65,12 +65,13 @@
                 !report.instance().equals(instance) || (report.startedAtMs() > startedAtMs && !isStartUnknown);
         if (isNewInstance && report.startedAtMs() < startedAtMs) {
             log.info("event=report-ignored reason=older-incarnation instance=" + report.instance() + " started-at-ms="
-                    + report.startedAtMs() + " known-instance=" + instance + " known-started-at-ms=" + startedAtMs);
+                    + report.startedAtMs() + " leaving=" + report.isLeaving() + " known-instance=" + instance
+                    + " known-started-at-ms=" + startedAtMs);
             return;
         }
         if (!isNewInstance && (report.startedAtMs() < startedAtMs || report.sequence() <= sequence)) {
             log.info("event=report-ignored reason=older-sequence instance=" + report.instance() + " sequence="
-                    + report.sequence() + " known-sequence=" + sequence);
+                    + report.sequence() + " leaving=" + report.isLeaving() + " known-sequence=" + sequence);
             return;
         }
         if (report.isLeaving()) {
@@ -104,7 +105,8 @@
         leftIncarnations.merge(leavingInstance, leavingStartedAtMs, Math::max);
         boolean isOlder = leavingStartedAtMs != UNKNOWN_START_MS && leavingStartedAtMs < startedAtMs;
         if (!leavingInstance.equals(instance) || isOlder) {
-            log.info("event=leave-ignored instance=" + leavingInstance + " known-instance=" + instance);
+            log.info("event=leave-ignored instance=" + leavingInstance + " started-at-ms=" + leavingStartedAtMs
+                    + " known-instance=" + instance + " known-started-at-ms=" + startedAtMs);
             return;
         }
         if (leavingStartedAtMs == UNKNOWN_START_MS) {
