--- a/app/src/test/java/io/cranberryarch/app/soak/SoakFleet.java
+++ b/app/src/test/java/io/cranberryarch/app/soak/SoakFleet.java
@@ -3,6 +3,9 @@
 import java.io.File;
 import java.io.IOException;
 import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -11,6 +14,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 /** Nodes as separate processes. Each has its own upstream, and reaches the upstream and the store through proxies. */
 final class SoakFleet implements AutoCloseable {
@@ -62,18 +66,28 @@
 
     /** Publishes a new version of the rules, which differs from the previous one in a timeout. */
     void publishRules() {
+        publishRules(KEY, "read");
+    }
+
+    /**
+     * Publishes a new version of the rules.
+     *
+     * @param key the only key
+     * @param reads the names of the idempotent routes of each node, which are also their path prefixes
+     */
+    void publishRules(String key, String... reads) {
         rulesVersion += 3;
         String routes = nodes.stream()
-                .flatMap(node ->
-                        List.of(toRoute("order", node.host, "non_idempotent"), toRoute("read", node.host, "idempotent"))
-                                .stream())
+                .flatMap(node -> Stream.concat(
+                        Stream.of(toRoute("order", node.host, "non_idempotent")),
+                        Stream.of(reads).map(name -> toRoute(name, node.host, "idempotent"))))
                 .collect(Collectors.joining(","));
         store.publishRules("{\"version\":\"r" + rulesVersion
                 + "\",\"routes\":{\"columns\":[\"name\",\"host\",\"prefix\","
                 + "\"service\",\"kind\",\"timeoutS\",\"priority\",\"maxAttempts\"],\"rows\":[" + routes
                 + "]},\"services\":{\"columns\":[\"name\",\"healthPath\",\"maxConnections\"],\"rows\":[[\""
                 + SoakUpstream.SERVICE + "\",\"/health\",100]]},\"tenants\":{\"columns\":[\"name\",\"apiKeys\"],"
-                + "\"rows\":[[\"" + ACCOUNT + "\",[\"" + KEY + "\"]]]},\"limits\":{\"maxHeaderBytes\":8000,"
+                + "\"rows\":[[\"" + ACCOUNT + "\",[\"" + key + "\"]]]},\"limits\":{\"maxHeaderBytes\":8000,"
                 + "\"maxBodyBytes\":100000,\"headerTimeoutS\":5,\"idleTimeoutS\":30}}");
     }
 
@@ -136,6 +150,21 @@
             return storeProxy;
         }
 
+        /** Returns whether the node reports that it can serve requests. */
+        boolean isReady() throws InterruptedException {
+            HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + host + ":" + READY_PORT + "/ready"))
+                    .build();
+            try {
+                return HttpClient.newHttpClient()
+                                .send(request, HttpResponse.BodyHandlers.discarding())
+                                .statusCode()
+                        == 200;
+            } catch (IOException e) {
+                // The process is not listening yet.
+                return false;
+            }
+        }
+
         URI toEntry(String path) {
             return URI.create("http://" + host + ":" + ENTRY_PORT + path);
         }
--- a/app/src/test/java/io/cranberryarch/app/soak/SoakUpstream.java
+++ b/app/src/test/java/io/cranberryarch/app/soak/SoakUpstream.java
@@ -37,12 +37,14 @@
     private final String control;
     private final String entry;
     private final Map<String, Integer> runs;
+    private final Set<String> localRuns = ConcurrentHashMap.newKeySet();
     private final Set<String> violations;
     private final HttpServer server;
     private final ExecutorService threads = Executors.newCachedThreadPool();
     private final HttpClient client =
             HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
     private volatile boolean isClosed;
+    private volatile boolean hasLeft;
     private volatile int incarnation = 1;
     private long startedAtMs = System.currentTimeMillis();
     private long sequence;
@@ -65,6 +67,11 @@
         return new ConcurrentHashMap<>();
     }
 
+    /** Returns the identifiers of the requests that this upstream ran. */
+    Set<String> getLocalRuns() {
+        return localRuns;
+    }
+
     InetSocketAddress getAddress() {
         return server.getAddress();
     }
@@ -76,6 +83,22 @@
         sequence = 0;
     }
 
+    /**
+     * Announces that this incarnation leaves, and makes no reports from then on. It goes on serving, and its health
+     * check goes on succeeding.
+     *
+     * @return the status of the node's response
+     */
+    int leave() throws IOException, InterruptedException {
+        hasLeft = true;
+        HttpRequest request = HttpRequest.newBuilder(
+                        URI.create("http://" + control + "/instances/" + toInstanceId() + "/deregister"))
+                .timeout(Duration.ofSeconds(1))
+                .POST(HttpRequest.BodyPublishers.noBody())
+                .build();
+        return client.send(request, HttpResponse.BodyHandlers.discarding()).statusCode();
+    }
+
     @Override
     public void close() {
         isClosed = true;
@@ -106,6 +129,7 @@
             return;
         }
         runs.merge(id, 1, Integer::sum);
+        localRuns.add(id);
         checkRequest(exchange, id);
         try {
             if (!isNested(id) && ThreadLocalRandom.current().nextDouble() < NESTED_CALL_RATIO) {
@@ -161,7 +185,7 @@
     }
 
     private void sendReports() {
-        while (!isClosed) {
+        while (!isClosed && !hasLeft) {
             try {
                 client.send(toReport(), HttpResponse.BodyHandlers.discarding());
             } catch (IOException e) {
