Record the leave of an upstream in the store before it is acknowledged

Cause: the leave was known to one process only. If the node was killed or restarted after it had acknowledged the leave, the next process asked the health check, and an upstream whose check still succeeds was used again; after a deregistration no heartbeat corrects that. Class of fault: a promise to another party that outlives the process was kept in its memory.

Now the leaves are written to a row of the node in the store before they are acknowledged, and read at the start; no health check is sent before that. The remembered leaves are bounded to 16.

--- a/app/src/main/java/io/cranberryarch/app/ArchiveTraining.java
+++ b/app/src/main/java/io/cranberryarch/app/ArchiveTraining.java
@@ -8,6 +8,7 @@
 import io.cranberryarch.mesh.MeshNode;
 import io.cranberryarch.mesh.MeshSettings;
 import io.cranberryarch.mesh.SharedStore;
+import io.cranberryarch.mesh.UpstreamLeave;
 import io.cranberryarch.mesh.UpstreamReport;
 import io.cranberryarch.net.ByteBudget;
 import io.cranberryarch.net.EventLoop;
@@ -141,7 +142,7 @@
                 1);
         MeshNode node = new MeshNode(loop, settings, PlatformHeaders.NAMES, store, ArchiveTraining::readRules, log);
         node.start();
-        node.getUpstream().onReport(new UpstreamReport(name, 1, 1, service, 20, false, 0));
+        node.getReports().onReport(new UpstreamReport(name, 1, 1, service, 20, false, 0), () -> {});
         nodes.add(node);
     }
 
@@ -287,6 +288,16 @@
             complete(callback, List.copyOf(peers));
         }
 
+        @Override
+        public void writeLeaves(String node, List<UpstreamLeave> leaves, Callback<Void> callback) {
+            complete(callback, null);
+        }
+
+        @Override
+        public void readLeaves(String node, Callback<List<UpstreamLeave>> callback) {
+            complete(callback, List.of());
+        }
+
         @Override
         public void writeObject(String name, byte[] content, Callback<Void> callback) {
             complete(callback, null);
--- a/app/src/main/java/io/cranberryarch/app/NodeProcess.java
+++ b/app/src/main/java/io/cranberryarch/app/NodeProcess.java
@@ -114,7 +114,7 @@
                 new PlatformStore(loop, settings.store()),
                 new OperatorDocumentReader(),
                 log);
-        UpstreamReportHandler reportHandler = new UpstreamReportHandler(node.getUpstream());
+        UpstreamReportHandler reportHandler = new UpstreamReportHandler(node.getReports());
         HttpServer.bind(
                 loop, settings.control(), () -> HttpLimits.DEFAULT, reportHandler::onRequest, (status, cause) -> {
                     if (log.tryAcquireRequestLine(loop.nowMs())) {
--- a/mesh/src/main/java/io/cranberryarch/mesh/MeshNode.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/MeshNode.java
@@ -73,6 +73,7 @@
     private final EventLog log;
     private final Closer closer = new Closer();
     private final UpstreamState upstream;
+    private final UpstreamReportService reports;
     private final RulesService rules;
     private final Gate gate;
     private final UpstreamProbe probe;
@@ -114,6 +115,7 @@
         this.log = log;
         PeerInfo self = new PeerInfo(settings.node(), settings.zone(), IniFile.toText(settings.peers()));
         upstream = new UpstreamState(loop, log);
+        reports = new UpstreamReportService(loop, settings.node(), upstream, store, log);
         HttpClientPool connections = new HttpClientPool(
                 loop, settings.upstream(), MAX_RESPONSE_BODY_BYTES, MAX_CONNECTION_IDLE_MS, responseBytes);
         gate = new Gate(loop, connections, names, upstream, log);
@@ -179,12 +181,12 @@
     }
 
     /**
-     * Returns the state of the upstream, which receives its reports.
+     * Returns the service that receives the reports of the upstream.
      *
-     * @return the state
+     * @return the service
      */
-    public UpstreamState getUpstream() {
-        return upstream;
+    public UpstreamReportService getReports() {
+        return reports;
     }
 
     /** Returns the service that handles the requests of callers. */
@@ -204,6 +206,7 @@
         readinessServer = bind(settings.ready(), this::onReadinessRequest);
         metricsServer = bind(settings.metrics(), this::onMetrics);
         rules.start();
+        reports.start(this::probeUpstream);
         counts.start();
         register();
         log.info("event=node-started node=" + settings.node() + " zone=" + settings.zone() + " service="
@@ -320,7 +323,11 @@
                 limits.idleTimeoutMs());
     }
 
+    /** Sends a health check, whose success must not outweigh an earlier leave. */
     private void probeUpstream() {
+        if (!reports.isRestored()) {
+            return;
+        }
         rules.getRules()
                 .flatMap(servingRules -> servingRules.findService(settings.service()))
                 .ifPresent(probe::send);
--- a/mesh/src/main/java/io/cranberryarch/mesh/SharedStore.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/SharedStore.java
@@ -58,6 +58,24 @@
      */
     void readPeers(Callback<List<PeerInfo>> callback);
 
+    /**
+     * Writes which incarnations of the upstream of a node have announced that they leave, replacing what was written
+     * before.
+     *
+     * @param node the name of the node
+     * @param leaves the incarnations
+     * @param callback receives the outcome
+     */
+    void writeLeaves(String node, List<UpstreamLeave> leaves, Callback<Void> callback);
+
+    /**
+     * Reads which incarnations of the upstream of a node have announced that they leave.
+     *
+     * @param node the name of the node
+     * @param callback receives the incarnations, none if nothing was written
+     */
+    void readLeaves(String node, Callback<List<UpstreamLeave>> callback);
+
     /**
      * Writes an object, replacing an earlier one of the same name.
      *
--- a/mesh/src/main/java/io/cranberryarch/mesh/UpstreamState.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/UpstreamState.java
@@ -2,7 +2,7 @@
 
 import io.cranberryarch.net.EventLoop;
 import java.util.ArrayList;
-import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 
@@ -18,9 +18,12 @@
     /** The start time of an incarnation of which only the identifier is known. */
     private static final long UNKNOWN_START_MS = 0;
 
+    /** The number of incarnations that have left which are remembered, the newest ones. */
+    private static final int MAX_LEFT_INCARNATIONS = 16;
+
     private final EventLoop loop;
     private final EventLog log;
-    private final Map<String, Long> leftIncarnations = new HashMap<>();
+    private final Map<String, Long> leftIncarnations = new LinkedHashMap<>();
     private final List<Runnable> listeners = new ArrayList<>();
     private String instance = "";
     private String service = "";
@@ -32,6 +35,7 @@
     private boolean isReachable;
     private long coldStartEndMs;
     private long reportedAtMs;
+    private long leavesRevision;
 
     /**
      * Creates a state without a known upstream.
@@ -75,10 +79,11 @@
             return;
         }
         if (report.isLeaving()) {
-            leftIncarnations.merge(report.instance(), report.startedAtMs(), Math::max);
+            addLeave(report.instance(), report.startedAtMs());
         }
         // Leaving is final for an incarnation, even if a later report contradicts it.
-        boolean isNowLeaving = hasLeft(report.instance(), report.startedAtMs());
+        boolean isSameIncarnation = !isNewInstance && !isStartUnknown;
+        boolean isNowLeaving = hasLeft(report.instance(), report.startedAtMs()) || (isSameIncarnation && isLeaving);
         boolean isChanged = isNewInstance || isLeaving != isNowLeaving || slots != report.slots() || !isReachable;
         instance = report.instance();
         service = report.service();
@@ -102,22 +107,55 @@
      */
     public void onLeave(String leavingInstance, long leavingStartedAtMs) {
         // Recorded also for an incarnation that is not known yet, as the leave is acknowledged in any case.
-        leftIncarnations.merge(leavingInstance, leavingStartedAtMs, Math::max);
-        boolean isOlder = leavingStartedAtMs != UNKNOWN_START_MS && leavingStartedAtMs < startedAtMs;
+        boolean isStartUnknown = leavingStartedAtMs == UNKNOWN_START_MS;
+        addLeave(
+                leavingInstance, isStartUnknown && leavingInstance.equals(instance) ? startedAtMs : leavingStartedAtMs);
+        boolean isOlder = !isStartUnknown && leavingStartedAtMs < startedAtMs;
         if (!leavingInstance.equals(instance) || isOlder) {
             log.info("event=leave-ignored instance=" + leavingInstance + " started-at-ms=" + leavingStartedAtMs
                     + " known-instance=" + instance + " known-started-at-ms=" + startedAtMs);
             return;
         }
-        if (leavingStartedAtMs == UNKNOWN_START_MS) {
-            leftIncarnations.put(leavingInstance, startedAtMs);
-        }
         if (!isLeaving) {
             isLeaving = true;
             publishChange("deregistered");
         }
     }
 
+    /** Applies the leaves that an earlier process of the node has acknowledged. */
+    void restoreLeaves(List<UpstreamLeave> leaves) {
+        leaves.forEach(leave -> addLeave(leave.instance(), leave.startedAtMs()));
+        if (isKnown() && !isLeaving && hasLeft(instance, startedAtMs)) {
+            isLeaving = true;
+            publishChange("leave-restored");
+        }
+    }
+
+    /** Returns the newest incarnations that have announced that they leave. */
+    List<UpstreamLeave> getLeaves() {
+        List<UpstreamLeave> leaves = new ArrayList<>();
+        leftIncarnations.forEach((left, leftStartedAtMs) -> leaves.add(new UpstreamLeave(left, leftStartedAtMs)));
+        return leaves;
+    }
+
+    /** Returns a number that increases with each change of {@link #getLeaves}, 0 while there are none. */
+    long getLeavesRevision() {
+        return leavesRevision;
+    }
+
+    private void addLeave(String leavingInstance, long leavingStartedAtMs) {
+        Long knownStartedAtMs = leftIncarnations.get(leavingInstance);
+        if (knownStartedAtMs != null && knownStartedAtMs >= leavingStartedAtMs) {
+            return;
+        }
+        leftIncarnations.remove(leavingInstance);
+        leftIncarnations.put(leavingInstance, leavingStartedAtMs);
+        if (leftIncarnations.size() > MAX_LEFT_INCARNATIONS) {
+            leftIncarnations.remove(leftIncarnations.keySet().iterator().next());
+        }
+        leavesRevision++;
+    }
+
     /** Applies the response to a health check, unless the upstream is already known. */
     void onProbed(String probedInstance, String probedService) {
         if (isKnown()) {
--- a/mesh/src/test/java/io/cranberryarch/mesh/FakeStore.java
+++ b/mesh/src/test/java/io/cranberryarch/mesh/FakeStore.java
@@ -14,6 +14,7 @@
 
     private final Map<String, PeerInfo> peers = new LinkedHashMap<>();
     private final Map<String, byte[]> objects = new LinkedHashMap<>();
+    private final Map<String, List<UpstreamLeave>> leaves = new LinkedHashMap<>();
     private final List<Wait> waiting = new ArrayList<>();
     private byte[] document;
     private long revision = 1;
@@ -52,6 +53,7 @@
         private final List<Long> waitsMs = new CopyOnWriteArrayList<>();
         private volatile boolean isUnavailable;
         private volatile boolean isRegistryUnavailable;
+        private volatile boolean areLeavesUnavailable;
 
         private View(EventLoop loop) {
             this.loop = loop;
@@ -66,6 +68,11 @@
             isRegistryUnavailable = unavailable;
         }
 
+        /** Sets whether reads of leaves fail while all other calls succeed. */
+        void setLeavesUnavailable(boolean unavailable) {
+            areLeavesUnavailable = unavailable;
+        }
+
         @Override
         public void readDocument(Callback<Optional<byte[]>> callback) {
             synchronized (FakeStore.this) {
@@ -127,6 +134,27 @@
             }
         }
 
+        @Override
+        public void writeLeaves(String node, List<UpstreamLeave> newLeaves, Callback<Void> callback) {
+            synchronized (FakeStore.this) {
+                if (!isUnavailable) {
+                    leaves.put(node, newLeaves);
+                }
+                answer(callback, null);
+            }
+        }
+
+        @Override
+        public void readLeaves(String node, Callback<List<UpstreamLeave>> callback) {
+            synchronized (FakeStore.this) {
+                if (areLeavesUnavailable) {
+                    loop.execute(() -> callback.onFailure(new StoreFailure(false, "unavailable")));
+                } else {
+                    answer(callback, leaves.getOrDefault(node, List.of()));
+                }
+            }
+        }
+
         @Override
         public void writeObject(String name, byte[] content, Callback<Void> callback) {
             synchronized (FakeStore.this) {
--- a/mesh/src/test/java/io/cranberryarch/mesh/TestFleet.java
+++ b/mesh/src/test/java/io/cranberryarch/mesh/TestFleet.java
@@ -224,7 +224,15 @@
         void report(long sequence, boolean isLeaving) {
             String instance = "instance-of-" + settings.node();
             UpstreamReport report = new UpstreamReport(instance, 1, sequence, "stock", 20, isLeaving, 0);
-            loop.execute(() -> node.getUpstream().onReport(report));
+            loop.execute(() -> node.getReports().onReport(report, () -> {}));
+        }
+
+        /** Announces that the upstream leaves and waits for the acknowledgement. */
+        void leave() throws Exception {
+            CompletableFuture<Void> acknowledged = new CompletableFuture<>();
+            String instance = "instance-of-" + settings.node();
+            loop.execute(() -> node.getReports().onLeave(instance, 1, () -> acknowledged.complete(null)));
+            get(acknowledged);
         }
 
         int getEntryPort() {
