Apply the announcement of a leave also if its report is ignored otherwise

Cause: a report that looked older than the last one, by its sequence or because an upstream had started again under its identifier without a start time, was ignored before its state was read, and acknowledged all the same. A leave is final for an incarnation, so that no older report can contradict it: it is applied first, if it concerns the current incarnation.

A late report of an older incarnation still changes nothing.

--- a/mesh/src/main/java/io/cranberryarch/mesh/UpstreamState.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/UpstreamState.java
@@ -59,11 +59,15 @@
     }
 
     /**
-     * Applies a report of the upstream. Reports older than the current state are ignored.
+     * Applies a report of the upstream. Reports older than the current state are ignored, but for the announcement that
+     * their incarnation leaves, which is final and acknowledged in any case.
      *
      * @param report the report
      */
     public void onReport(UpstreamReport report) {
+        if (report.isLeaving()) {
+            applyLeave(report.instance(), report.startedAtMs(), "report");
+        }
         boolean isStartUnknown = report.instance().equals(instance) && startedAtMs == UNKNOWN_START_MS;
         boolean isNewInstance =
                 !report.instance().equals(instance) || (report.startedAtMs() > startedAtMs && !isStartUnknown);
@@ -78,9 +82,6 @@
                     + report.sequence() + " leaving=" + report.isLeaving() + " known-sequence=" + sequence);
             return;
         }
-        if (report.isLeaving()) {
-            addLeave(report.instance(), report.startedAtMs());
-        }
         // Leaving is final for an incarnation, even if a later report contradicts it.
         boolean isSameIncarnation = !isNewInstance && !isStartUnknown;
         boolean isNowLeaving = hasLeft(report.instance(), report.startedAtMs()) || (isSameIncarnation && isLeaving);
@@ -106,20 +107,22 @@
      * @param leavingStartedAtMs its start time, in milliseconds since 1970, 0 if unknown
      */
     public void onLeave(String leavingInstance, long leavingStartedAtMs) {
-        // Recorded also for an incarnation that is not known yet, as the leave is acknowledged in any case.
-        boolean isStartUnknown = leavingStartedAtMs == UNKNOWN_START_MS;
-        addLeave(
-                leavingInstance, isStartUnknown && leavingInstance.equals(instance) ? startedAtMs : leavingStartedAtMs);
-        boolean isOlder = !isStartUnknown && leavingStartedAtMs < startedAtMs;
-        if (!leavingInstance.equals(instance) || isOlder) {
+        if (!applyLeave(leavingInstance, leavingStartedAtMs, "deregistered")) {
             log.info("event=leave-ignored instance=" + leavingInstance + " started-at-ms=" + leavingStartedAtMs
                     + " known-instance=" + instance + " known-started-at-ms=" + startedAtMs);
-            return;
         }
-        if (!isLeaving) {
+    }
+
+    /** Records that an incarnation leaves, which may not be known yet, and returns whether it is the current one. */
+    private boolean applyLeave(String leavingInstance, long leavingStartedAtMs, String reason) {
+        boolean isStartUnknown = leavingStartedAtMs == UNKNOWN_START_MS;
+        boolean isCurrent = leavingInstance.equals(instance) && (isStartUnknown || leavingStartedAtMs >= startedAtMs);
+        addLeave(leavingInstance, isStartUnknown && isCurrent ? startedAtMs : leavingStartedAtMs);
+        if (isCurrent && !isLeaving) {
             isLeaving = true;
-            publishChange("deregistered");
+            publishChange(reason);
         }
+        return isCurrent;
     }
 
     /** Applies the leaves that an earlier process of the node has acknowledged. */
--- a/mesh/src/test/java/io/cranberryarch/mesh/UpstreamStateTest.java
+++ b/mesh/src/test/java/io/cranberryarch/mesh/UpstreamStateTest.java
@@ -28,7 +28,73 @@
     }
 
     private void report(long startedAtMs, long sequence) {
-        upstream.onReport(new UpstreamReport("i-1", startedAtMs, sequence, "stock", 20, false, 0));
+        report(startedAtMs, sequence, false);
+    }
+
+    private void report(long startedAtMs, long sequence, boolean isLeaving) {
+        upstream.onReport(new UpstreamReport("i-1", startedAtMs, sequence, "stock", 20, isLeaving, 0));
+    }
+
+    /** Guards against requests at an upstream whose announcement to leave was acknowledged and ignored. */
+    @Test
+    void leaveInAReportWithAnOldSequenceApplies() {
+        report(5_000, 9);
+        report(5_000, 9, true);
+        assertFalse(upstream.isAccepting());
+        report(5_000, 10);
+        assertFalse(upstream.isAccepting());
+    }
+
+    /** Guards against the same for an upstream that started again under its identifier, whose sequence starts anew. */
+    @Test
+    void leaveAfterARestartWithoutAStartTimeApplies() {
+        report(0, 9);
+        report(0, 1, true);
+        assertFalse(upstream.isAccepting());
+    }
+
+    @Test
+    void lateReportThatAnOlderIncarnationLeavesIsIgnored() {
+        report(6_000, 3);
+        report(5_000, 9, true);
+        assertTrue(upstream.isAccepting());
+        report(6_000, 4);
+        assertTrue(upstream.isAccepting());
+    }
+
+    @Test
+    void newIncarnationThatLeavesAtOnceIsNotUsed() {
+        report(5_000, 9);
+        report(6_000, 1, true);
+        assertFalse(upstream.isAccepting());
+    }
+
+    @Test
+    void leaveOfAnIncarnationThatHasNotReportedYetApplies() {
+        report(5_000, 9);
+        upstream.onLeave("i-1", 6_000);
+        assertFalse(upstream.isAccepting());
+        report(6_000, 1);
+        assertFalse(upstream.isAccepting());
+    }
+
+    @Test
+    void numberOfRememberedLeavesIsBounded() {
+        for (int i = 0; i < 1_000; i++) {
+            upstream.onLeave("foreign-" + i, 0);
+        }
+        assertTrue(upstream.getLeaves().size() <= 16);
+    }
+
+    @Test
+    void leavingUpstreamStaysSoWhateverElseLeaves() {
+        report(5_000, 1);
+        upstream.onLeave("i-1", 5_000);
+        for (int i = 0; i < 1_000; i++) {
+            upstream.onLeave("foreign-" + i, 0);
+        }
+        report(5_000, 2);
+        assertFalse(upstream.isAccepting());
     }
 
     @Test
