--- a/mesh/src/main/java/io/cranberryarch/mesh/EntryService.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/EntryService.java
@@ -166,6 +166,14 @@
                 refuse(503, NODE_STOPPING, UNAVAILABLE_RETRY_AFTER_MS);
                 return;
             }
+            exchange.onAbandoned(this::abandon);
+            rules.decide(this::decide);
+        }
+
+        private void decide() {
+            if (isDone) {
+                return;
+            }
             Optional<ServingRules> currentRules = rules.getRules();
             if (currentRules.isEmpty()) {
                 refuse(503, "rules-unknown", UNAVAILABLE_RETRY_AFTER_MS);
@@ -176,7 +184,7 @@
                 refuse(404, "no-route", 0);
                 return;
             }
-            long leftMs = toTimeoutMs(route.get());
+            long leftMs = Math.max(1, toTimeoutMs(route.get()) - (loop.nowMs() - startMs));
             if (!authenticate(currentRules.get(), route.get())) {
                 if (isKeyless() && isFromLocalHost() && gate.isActive()) {
                     // This may be a nested call of a run that is not registered here, e.g. one from before a restart.
@@ -278,7 +286,6 @@
                     headers,
                     request.body(),
                     request.hasBody());
-            exchange.onAbandoned(this::abandon);
             timeout = Optional.of(loop.schedule(leftMs, this::expire));
             double progress = parent.map(run -> RepeatBudget.toProgress(run.countServedCalls()))
                     .orElse(1.0);
--- a/mesh/src/test/java/io/cranberryarch/mesh/EntryServiceTest.java
+++ b/mesh/src/test/java/io/cranberryarch/mesh/EntryServiceTest.java
@@ -40,6 +40,17 @@
         assertTrue(leftMs > 0 && leftMs <= 4_000, "left " + leftMs);
     }
 
+    /** Guards against requests that are never answered after a stall of the process, as the store does not respond. */
+    @Test
+    void requestsAreServedAfterAStallWithoutTheStore() throws Exception {
+        near.store().setUnavailable(true);
+        near.stall(1_000);
+        assertEquals(200, send("GET", "/read/7", KEY).statusCode());
+        fleet.awaitLine("event=process-stalled stall-ms=\\d+ version-in-force=1");
+        fleet.awaitLine("event=rules-confirmed source=none version-in-force=1 held=1");
+        assertEquals(200, send("GET", "/read/8", KEY).statusCode());
+    }
+
     @Test
     void unknownKeysAndRoutesAreRefusedAtTheEntry() throws Exception {
         assertEquals(401, send("GET", "/read/7", "key-of-nobody").statusCode());
--- a/mesh/src/test/java/io/cranberryarch/mesh/TestFleet.java
+++ b/mesh/src/test/java/io/cranberryarch/mesh/TestFleet.java
@@ -26,6 +26,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import java.util.regex.Pattern;
 
 /** Nodes with their upstreams on loopback, which share a store. The rules document consists of their version. */
@@ -227,6 +228,11 @@
             loop.execute(() -> node.getReports().onReport(report, () -> {}));
         }
 
+        /** Blocks the event loop, as if the process were stopped. Returns at once. */
+        void stall(long durationMs) {
+            loop.execute(() -> LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(durationMs)));
+        }
+
         /** Announces that the upstream leaves and waits for the acknowledgement. */
         void leave() throws Exception {
             CompletableFuture<Void> acknowledged = new CompletableFuture<>();
