Refuse the requests that an upstream has not got yet when it leaves

What callers saw: a request could reach an upstream seconds after its leave was acknowledged (rule DRAIN), and one that waited for a slot was refused only when a slot got free.

Cause: the gate checks that the upstream leaves when a request starts. A request for which no connection was idle is written when a new one is established, up to its deadline later, as an opening packet that meets a full queue is sent again after seconds. At a leave such requests, and those that wait for a slot, are now refused as not run, so that their entry sends them to another instance.

Test: GateTest.requestsThatAreNotSentAreRefusedWhenTheUpstreamLeaves failed before.

--- a/decision/src/main/java/io/cranberryarch/decision/serving/SlotScheduler.java
+++ b/decision/src/main/java/io/cranberryarch/decision/serving/SlotScheduler.java
@@ -1,5 +1,6 @@
 package io.cranberryarch.decision.serving;
 
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -101,6 +102,24 @@
         return waiting.removeExpired(nowMs);
     }
 
+    /**
+     * Removes all waiting requests.
+     *
+     * @return the removed requests
+     */
+    public List<T> removeAllWaiting() {
+        return waiting.removeExpired(Long.MAX_VALUE);
+    }
+
+    /**
+     * Returns the running requests.
+     *
+     * @return a copy
+     */
+    public List<T> getRunning() {
+        return new ArrayList<>(running);
+    }
+
     /**
      * Removes a request that waits.
      *
--- a/mesh/src/main/java/io/cranberryarch/mesh/Gate.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/Gate.java
@@ -69,6 +69,7 @@
         this.connections = connections;
         this.echoedHeaders = Set.of(names.requestId().toLowerCase(Locale.ROOT));
         this.lastRunEndedAtMs = loop.nowMs();
+        upstream.addListener(this::refuseUnsent);
     }
 
     /**
@@ -157,6 +158,19 @@
         scheduleExpiryCheck();
     }
 
+    /** Refuses the requests that have not been sent to the upstream, if the upstream leaves. */
+    private void refuseUnsent() {
+        if (!upstream.isUpstreamLeaving()) {
+            return;
+        }
+        for (Run run : scheduler.removeAllWaiting()) {
+            run.finish(fail(Execution.NOT_RUN, "leaving"));
+        }
+        for (Run run : scheduler.getRunning()) {
+            run.refuseIfUnsent();
+        }
+    }
+
     private void startNext() {
         Optional<Run> next = scheduler.pollNext(getLimit());
         while (next.isPresent()) {
@@ -301,8 +315,19 @@
                     isSent ? "upstream-connection-lost" : "upstream-unreachable"));
         }
 
+        private boolean isSent() {
+            return connection.map(HttpClientConnection::isConnected).orElse(false);
+        }
+
+        private void refuseIfUnsent() {
+            if (!isSent()) {
+                connection.ifPresent(HttpClientConnection::cancel);
+                end(fail(Execution.NOT_RUN, "leaving"));
+            }
+        }
+
         private void expire() {
-            boolean isSent = connection.map(HttpClientConnection::isConnected).orElse(false);
+            boolean isSent = isSent();
             connection.ifPresent(HttpClientConnection::cancel);
             end(fail(isSent ? Execution.UNKNOWN : Execution.NOT_RUN, "timeout"));
         }
--- a/mesh/src/test/java/io/cranberryarch/mesh/GateTest.java
+++ b/mesh/src/test/java/io/cranberryarch/mesh/GateTest.java
@@ -3,9 +3,18 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.cranberryarch.base.Clock;
+import io.cranberryarch.context.ForwardedRequest;
 import io.cranberryarch.context.HeaderField;
+import io.cranberryarch.net.ByteBudget;
+import io.cranberryarch.net.EventLoop;
+import io.cranberryarch.net.HttpClientPool;
 import io.cranberryarch.net.HttpResponseMessage;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.net.http.HttpResponse;
+import java.nio.channels.SocketChannel;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -83,4 +92,54 @@
             assertTrue(running.stream().noneMatch(CompletableFuture::isDone));
         }
     }
+
+    /**
+     * Guards against requests that reach an upstream seconds after its leave was acknowledged: they wait for a
+     * connection that the upstream accepts only then. Those that wait for a slot are refused as well.
+     */
+    @Test
+    void requestsThatAreNotSentAreRefusedWhenTheUpstreamLeaves() throws Exception {
+        EventLoop loop = new EventLoop(Clock.system());
+        EventLog log = new EventLog(10, line -> {});
+        List<SocketChannel> connections = new ArrayList<>();
+        try (ServerSocket unresponsive = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            InetSocketAddress address = new InetSocketAddress("127.0.0.1", unresponsive.getLocalPort());
+            fillQueue(address, connections);
+            UpstreamState upstream = new UpstreamState(loop, log);
+            upstream.onReport(new UpstreamReport("i-1", 1, 1, "stock", 1, false, 0));
+            HttpClientPool pool = new HttpClientPool(loop, address, 1_000, 1_000, new ByteBudget(1_000));
+            Gate gate = new Gate(loop, pool, TestHeaderNames.NAMES, upstream, log);
+            List<String> answers = new ArrayList<>();
+            gate.handle(toRequest("connecting"), answer -> answers.add(answer.execution() + " " + answer.reason()));
+            gate.handle(toRequest("waiting"), answer -> answers.add(answer.execution() + " " + answer.reason()));
+            assertEquals(1, gate.countWaiting());
+            upstream.onLeave("i-1", 1);
+            assertEquals(List.of("NOT_RUN leaving", "NOT_RUN leaving"), answers);
+            assertEquals(0, gate.countInFlight());
+        } finally {
+            for (SocketChannel connection : connections) {
+                connection.close();
+            }
+            loop.close();
+            log.close();
+        }
+    }
+
+    /** Opens connections until the server's queue of new connections is full and a further one stays pending. */
+    private static void fillQueue(InetSocketAddress address, List<SocketChannel> connections) throws Exception {
+        boolean isPending = false;
+        while (!isPending) {
+            SocketChannel connection = SocketChannel.open();
+            connections.add(connection);
+            connection.configureBlocking(false);
+            connection.connect(address);
+            Thread.sleep(200);
+            isPending = !connection.finishConnect();
+        }
+    }
+
+    private static ForwardedRequest toRequest(String id) {
+        return new ForwardedRequest(
+                id, "stock", "read", 0, false, false, 4_000, "GET", "/read/1", List.of(), new byte[0], false);
+    }
 }
