Reject rules that are inconsistent, and keep those in force

What callers saw: proper requests were answered 404 or 401 (rules DENIED and CONFIG) once the operators' document had a mistake, such as a prefix without its slash.

Cause: a document that could be read was taken, whatever it said; the node relied on the store for that. Class of fault: trust in a check that another party makes. Documents from peers go the same way.

A document that lacks a part stays rejected as before.

--- a/app/src/test/java/io/cranberryarch/app/soak/ProcessFaultTest.java
+++ b/app/src/test/java/io/cranberryarch/app/soak/ProcessFaultTest.java
@@ -91,6 +91,28 @@
         }
     }
 
+    /** Guards against proper requests that are denied because invalid rules replaced those in force. */
+    @Test
+    void invalidRulesDoNotReplaceThoseInForce() throws Exception {
+        try (SoakFleet fleet = new SoakFleet(folder, 1)) {
+            SoakFleet.SoakNode node = fleet.getNodes().get(0);
+            awaitServed(node);
+            fleet.getStore()
+                    .publishRules(fleet.toNextDocument(SoakFleet.KEY, "read").replace("/read/", "read/"));
+            await(() -> {
+                String logs = fleet.readLogs();
+                return logs.contains("event=rules-rejected source=store")
+                        || logs.contains("event=rules-changed source=store from=3");
+            });
+            assertEquals(
+                    200,
+                    send(node, "read-1", "/read/read-1", SoakFleet.KEY).join().statusCode());
+            // A later version is not affected.
+            fleet.publishRules(SoakFleet.KEY, "read", "added");
+            await(() -> fleet.readLogs().contains("event=rules-changed source=store from=3 to=9"));
+        }
+    }
+
     private void awaitServed(SoakFleet.SoakNode node) throws Exception {
         await(() -> {
             String id = "probe-" + System.nanoTime();
--- a/app/src/test/java/io/cranberryarch/app/soak/SoakFleet.java
+++ b/app/src/test/java/io/cranberryarch/app/soak/SoakFleet.java
@@ -76,19 +76,24 @@
      * @param reads the names of the idempotent routes of each node, which are also their path prefixes
      */
     void publishRules(String key, String... reads) {
+        store.publishRules(toNextDocument(key, reads));
+    }
+
+    /** Returns the document of a new version of the rules, see {@link #publishRules(String, String...)}. */
+    String toNextDocument(String key, String... reads) {
         rulesVersion += 3;
         String routes = nodes.stream()
                 .flatMap(node -> Stream.concat(
                         Stream.of(toRoute("order", node.host, "non_idempotent")),
                         Stream.of(reads).map(name -> toRoute(name, node.host, "idempotent"))))
                 .collect(Collectors.joining(","));
-        store.publishRules("{\"version\":\"r" + rulesVersion
+        return "{\"version\":\"r" + rulesVersion
                 + "\",\"routes\":{\"columns\":[\"name\",\"host\",\"prefix\","
                 + "\"service\",\"kind\",\"timeoutS\",\"priority\",\"maxAttempts\"],\"rows\":[" + routes
                 + "]},\"services\":{\"columns\":[\"name\",\"healthPath\",\"maxConnections\"],\"rows\":[[\""
                 + SoakUpstream.SERVICE + "\",\"/health\",100]]},\"tenants\":{\"columns\":[\"name\",\"apiKeys\"],"
                 + "\"rows\":[[\"" + ACCOUNT + "\",[\"" + key + "\"]]]},\"limits\":{\"maxHeaderBytes\":8000,"
-                + "\"maxBodyBytes\":100000,\"headerTimeoutS\":5,\"idleTimeoutS\":30}}");
+                + "\"maxBodyBytes\":100000,\"headerTimeoutS\":5,\"idleTimeoutS\":30}}";
     }
 
     /** Returns the output of all node processes. */
--- a/mesh/src/main/java/io/cranberryarch/mesh/RulesService.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/RulesService.java
@@ -5,6 +5,7 @@
 import io.cranberryarch.net.EventLoop;
 import io.cranberryarch.settings.SettingsException;
 import io.cranberryarch.settings.serving.ServingRules;
+import io.cranberryarch.settings.serving.ServingRulesValidator;
 import io.cranberryarch.wire.RulesRequestMessage;
 import java.util.ArrayList;
 import java.util.List;
@@ -25,6 +26,9 @@
 
     private static final long CONFIRMATION_RETRY_DELAY_MS = 100;
 
+    /** The maximum number of faults of a rejected document that are logged. */
+    private static final int MAX_LOGGED_FAULTS = 5;
+
     private final EventLoop loop;
     private final SharedStore store;
     private final RulesReader reader;
@@ -202,9 +206,12 @@
         ServingRules read;
         try {
             read = reader.read(bytes);
+            ServingRulesValidator.validate(read);
         } catch (SettingsException e) {
-            log.info("event=rules-rejected source=" + source + " version-in-force=" + getVersion() + " cause=\""
-                    + e.getMessage() + "\"");
+            List<String> faults = e.getFaults();
+            String cause = String.join("; ", faults.subList(0, Math.min(MAX_LOGGED_FAULTS, faults.size())));
+            log.info("event=rules-rejected source=" + source + " version-in-force=" + getVersion() + " faults="
+                    + faults.size() + " cause=\"" + cause + "\"");
             return;
         }
         if (read.getVersion() <= getVersion()) {
