Select the route of a request by the authority of an absolute target, and by a host with a final dot

What callers saw: 404 for proper requests in these forms (rules DENIED and CONFIG).

Cause: the path of a target in absolute form was taken with its scheme and authority, and the host of a route was compared with the final dot. RFC 9112 (3.2.2) demands that a server takes the absolute form, whose authority goes before the Host header; the request reaches the upstream in origin form.

--- a/mesh/src/test/java/io/cranberryarch/mesh/EntryServiceTest.java
+++ b/mesh/src/test/java/io/cranberryarch/mesh/EntryServiceTest.java
@@ -121,6 +121,28 @@
                 .orElseThrow();
     }
 
+    /** Guards against proper requests that are denied because their host is written in another form. */
+    @Test
+    void formsOfTheHostSelectTheSameRoute() throws Exception {
+        for (String head : List.of(
+                "GET http://127.0.0.1/read/7 HTTP/1.1\r\nHost: 127.0.0.1\r\n",
+                "GET http://127.0.0.1:80/read/7 HTTP/1.1\r\nHost: other.example\r\n",
+                "GET /read/7 HTTP/1.1\r\nHost: 127.0.0.1.\r\n",
+                "GET /read/7 HTTP/1.1\r\nHost: 127.0.0.1.:80\r\n")) {
+            String answer = exchange(head + "Authorization: Bearer " + KEY + "\r\nConnection: close\r\n\r\n");
+            assertTrue(answer.startsWith("HTTP/1.1 200 "), head + answer);
+        }
+        assertTrue(near.upstream().getArrived().stream()
+                .allMatch(exchange -> exchange.getRequest().target().equals("/read/7")));
+    }
+
+    private String exchange(String request) throws IOException {
+        try (Socket client = new Socket("127.0.0.1", near.getEntryPort())) {
+            client.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+            return new String(client.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+        }
+    }
+
     /** Sends a request without a key from a local address and returns the response as text. */
     private String sendKeyless(String localAddress, String requestId, String timeoutMs) {
         try (Socket client = new Socket()) {
--- a/net/src/main/java/io/cranberryarch/net/HttpRequestMessage.java
+++ b/net/src/main/java/io/cranberryarch/net/HttpRequestMessage.java
@@ -1,8 +1,11 @@
 package io.cranberryarch.net;
 
 import io.cranberryarch.context.HeaderField;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /**
  * A complete HTTP request.
@@ -17,6 +20,8 @@
 public record HttpRequestMessage(
         String method, String target, List<HeaderField> headers, byte[] body, boolean hasBody) {
 
+    private static final Pattern ABSOLUTE_FORM = Pattern.compile("(?i:https?)://([^/?#]+)([^#]*)");
+
     /**
      * Finds the first header with a name.
      *
@@ -27,6 +32,32 @@
         return HttpHeaders.find(headers, name);
     }
 
+    /**
+     * Returns the request with its target in origin form. A target in absolute form selects the host by its authority,
+     * whatever the Host header says (RFC 9112, section 3.2.2).
+     *
+     * @return this request if its target is not in absolute form, else a copy with the authority as its Host header
+     */
+    HttpRequestMessage toOriginForm() {
+        if (target.startsWith("/")) {
+            return this;
+        }
+        Matcher absolute = ABSOLUTE_FORM.matcher(target);
+        if (!absolute.matches()) {
+            return this;
+        }
+        String pathAndQuery = absolute.group(2);
+        List<HeaderField> newHeaders = new ArrayList<>();
+        newHeaders.add(new HeaderField("Host", absolute.group(1)));
+        for (HeaderField header : headers) {
+            if (!header.name().equalsIgnoreCase("Host")) {
+                newHeaders.add(header);
+            }
+        }
+        String newTarget = pathAndQuery.startsWith("/") ? pathAndQuery : "/" + pathAndQuery;
+        return new HttpRequestMessage(method, newTarget, newHeaders, body, hasBody);
+    }
+
     /**
      * Returns the path.
      *
--- a/net/src/main/java/io/cranberryarch/net/HttpServerConnection.java
+++ b/net/src/main/java/io/cranberryarch/net/HttpServerConnection.java
@@ -331,8 +331,8 @@
             byte[] bytes = body == null ? new byte[0] : body.toByteArray();
             Set<String> options = HttpHeaders.toConnectionOptions(headers);
             boolean isNonPersistent = version != HttpVersion.HTTP_1_1 && !options.contains("keep-alive");
-            Exchange exchange =
-                    new Exchange(new HttpRequestMessage(method, target, headers, bytes, hasBody), loop.nowMs());
+            HttpRequestMessage request = new HttpRequestMessage(method, target, headers, bytes, hasBody);
+            Exchange exchange = new Exchange(request.toOriginForm(), loop.nowMs());
             exchange.isCloseRequested = isNonPersistent || options.contains("close");
             isClosing |= exchange.isCloseRequested;
             exchange.isLast = isClosing;
--- a/settings/src/main/java/io/cranberryarch/settings/serving/ServingRules.java
+++ b/settings/src/main/java/io/cranberryarch/settings/serving/ServingRules.java
@@ -151,6 +151,8 @@
     private static String toHostKey(String host) {
         int port = host.lastIndexOf(':');
         String name = port >= 0 && host.indexOf(']', port) < 0 ? host.substring(0, port) : host;
-        return name.toLowerCase(Locale.ROOT);
+        // A fully qualified domain name may end with a dot.
+        String unqualified = name.endsWith(".") ? name.substring(0, name.length() - 1) : name;
+        return unqualified.toLowerCase(Locale.ROOT);
     }
 }
