Take only numeric addresses as addresses, so that an odd entry of the list of nodes hides no other

What operators saw elsewhere: an odd entry of another writer in the list of servers made the machines that read it end or stop following it. Here, an entry with the address 999.1.1.1:7000 kept a node from connecting to the entries behind it; it never got ready.

Cause: the text was looked up as a name, and connecting to the unresolved address threw in the midst of the list.

--- a/mesh/src/test/java/io/cranberryarch/mesh/PeerDiscoveryTest.java
+++ b/mesh/src/test/java/io/cranberryarch/mesh/PeerDiscoveryTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import io.cranberryarch.context.PeerInfo;
+import java.util.List;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -46,6 +47,33 @@
         fleet.awaitLine("event=peer-ignored peer=node-0");
     }
 
+    /** Guards against a node that stops following the list of nodes because one entry names what is no address. */
+    @Test
+    void oddAddressesInTheListDoNotHideTheOthers() throws Exception {
+        fleet.publish(1);
+        List<String> addresses = List.of(
+                "999.1.1.1:7000",
+                "feed:7000",
+                "10.0.0.1:0",
+                "0.0.0.0:0",
+                "255.255.255.255:9",
+                ":::80",
+                "[::1:80",
+                "1:2:3:4:5:6:7:8:9:80",
+                "10.0.0.1:99999",
+                "10.0.0.1:-1",
+                "10.0.0.1:99999999999999999999",
+                "z".repeat(40_000) + ":1");
+        for (int i = 0; i < addresses.size(); i++) {
+            fleet.addToList(new PeerInfo("node-" + i, "zone-a", addresses.get(i)));
+        }
+        TestFleet.Member first = fleet.add("node-a", "zone-a");
+        TestFleet.Member second = fleet.add("node-b", "zone-b");
+        fleet.start(first, second);
+        TestFleet.await(() -> first.metrics().contains("peers_connected 1"));
+        TestFleet.await(() -> second.metrics().contains("peers_connected 1"));
+    }
+
     @Test
     void lateNodeReceivesUnchangedUpstreams() throws Exception {
         fleet.publish(1);
--- a/settings/src/main/java/io/cranberryarch/settings/IniFile.java
+++ b/settings/src/main/java/io/cranberryarch/settings/IniFile.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.regex.Pattern;
 import org.apache.commons.configuration2.INIConfiguration;
 import org.apache.commons.configuration2.SubnodeConfiguration;
 import org.apache.commons.configuration2.ex.ConfigurationException;
@@ -30,6 +31,9 @@
  */
 public final class IniFile {
 
+    private static final Pattern IPV4 =
+            Pattern.compile("(25[0-5]|2[0-4]\\d|1?\\d?\\d)(\\.(25[0-5]|2[0-4]\\d|1?\\d?\\d)){3}");
+    private static final Pattern IPV6 = Pattern.compile("(?=.*:)[0-9a-fA-F.:\\[\\]]{2,41}");
     private static final int MAX_PORT = 65_535;
 
     /** Platforms write numbers with all their decimals, and small ones with an exponent. */
@@ -242,10 +246,13 @@
             return Optional.empty();
         }
         int port = Integer.parseInt(text.substring(colon + 1));
-        if (port > MAX_PORT || !text.substring(0, colon).matches("[0-9a-fA-F.:\\[\\]]+")) {
+        String host = text.substring(0, colon);
+        // Other texts would be looked up as names, which blocks the caller.
+        boolean isNumeric = IPV4.matcher(host).matches() || IPV6.matcher(host).matches();
+        if (port > MAX_PORT || !isNumeric) {
             return Optional.empty();
         }
-        return Optional.of(new InetSocketAddress(text.substring(0, colon), port));
+        return Optional.of(new InetSocketAddress(host, port)).filter(address -> !address.isUnresolved());
     }
 
     /**
