Believe an upstream that goes on reporting while the incarnation that seems newer is silent

Cause: the highest start time and sequence ever seen win for good. Now three further reports over two seconds, in which the incarnation that seems to be newer is silent, are believed. Delayed reports of an ended incarnation arrive together or end soon, and a report of the current one starts the count anew. A leave stays in force.

Tests: UpstreamStateTest.upstreamIsUsedAgainAfterAnOddReport and upstreamWithAnEarlierStartTimeIsUsedOnceThePreviousOneIsSilent failed before.

--- a/mesh/src/main/java/io/cranberryarch/mesh/UpstreamState.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/UpstreamState.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 /** Holds the state of the upstream on the node's host, as derived from the upstream's reports and responses. */
 public final class UpstreamState {
@@ -25,6 +26,7 @@
     private final EventLog log;
     private final Map<String, Long> leftIncarnations = new LinkedHashMap<>();
     private final List<Runnable> listeners = new ArrayList<>();
+    private final PersistentReports ignoredReports = new PersistentReports();
     private String instance = "";
     private String service = "";
     private long startedAtMs;
@@ -71,17 +73,20 @@
         boolean isStartUnknown = report.instance().equals(instance) && startedAtMs == UNKNOWN_START_MS;
         boolean isNewInstance =
                 !report.instance().equals(instance) || (report.startedAtMs() > startedAtMs && !isStartUnknown);
-        if (isNewInstance && report.startedAtMs() < startedAtMs) {
-            log.info("event=report-ignored reason=older-incarnation instance=" + report.instance() + " started-at-ms="
-                    + report.startedAtMs() + " leaving=" + report.isLeaving() + " known-instance=" + instance
-                    + " known-started-at-ms=" + startedAtMs);
-            return;
-        }
-        if (!isNewInstance && (report.startedAtMs() < startedAtMs || report.sequence() <= sequence)) {
-            log.info("event=report-ignored reason=older-sequence instance=" + report.instance() + " sequence="
-                    + report.sequence() + " leaving=" + report.isLeaving() + " known-sequence=" + sequence);
-            return;
+        Optional<String> ignoredReason = findIgnoredReason(report, isNewInstance);
+        if (ignoredReason.isPresent()) {
+            if (!ignoredReports.add(report, loop.nowMs())) {
+                log.info("event=report-ignored reason=" + ignoredReason.get() + " instance=" + report.instance()
+                        + " started-at-ms=" + report.startedAtMs() + " sequence=" + report.sequence() + " leaving="
+                        + report.isLeaving() + " known-instance=" + instance + " known-started-at-ms=" + startedAtMs
+                        + " known-sequence=" + sequence);
+                return;
+            }
+            log.info("event=report-believed reason=" + ignoredReason.get() + " instance=" + report.instance()
+                    + " known-instance=" + instance);
+            isNewInstance = !report.instance().equals(instance) || report.startedAtMs() != startedAtMs;
         }
+        ignoredReports.clear();
         // Leaving is final for an incarnation, even if a later report contradicts it.
         boolean isSameIncarnation = !isNewInstance && !isStartUnknown;
         boolean isNowLeaving = hasLeft(report.instance(), report.startedAtMs()) || (isSameIncarnation && isLeaving);
@@ -100,6 +105,15 @@
         }
     }
 
+    /** Returns why a report seems to be older than the current state, or empty if it does not. */
+    private Optional<String> findIgnoredReason(UpstreamReport report, boolean isNewInstance) {
+        if (report.startedAtMs() < startedAtMs) {
+            return Optional.of("older-incarnation");
+        }
+        boolean isOlder = !isNewInstance && report.sequence() <= sequence;
+        return isOlder ? Optional.of("older-sequence") : Optional.empty();
+    }
+
     /**
      * Records that an incarnation is about to end.
      *
--- a/mesh/src/test/java/io/cranberryarch/mesh/UpstreamStateTest.java
+++ b/mesh/src/test/java/io/cranberryarch/mesh/UpstreamStateTest.java
@@ -1,5 +1,6 @@
 package io.cranberryarch.mesh;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -12,12 +13,14 @@
 class UpstreamStateTest {
 
     private final EventLog log = new EventLog(10, line -> {});
+    private ManualClock clock;
     private EventLoop loop;
     private UpstreamState upstream;
 
     @BeforeEach
     void start() throws Exception {
-        loop = new EventLoop(new ManualClock(1_000));
+        clock = new ManualClock(1_000);
+        loop = new EventLoop(clock);
         upstream = new UpstreamState(loop, log);
     }
 
@@ -129,4 +132,61 @@
         upstream.onLeave("i-1", 5_000);
         assertTrue(upstream.isAccepting());
     }
+
+    /** Guards against an upstream that is out of use for good after an odd report of another writer. */
+    @Test
+    void upstreamIsUsedAgainAfterAnOddReport() {
+        report(5_000, 9);
+        upstream.onReport(new UpstreamReport("other", 9_000_000, 7, "stock", 20, false, 0));
+        reportAgain("i-1", 5_000, 10);
+        assertEquals("i-1", upstream.getInstance());
+        report(5_000, 2_000_000);
+        reportAgain("i-1", 5_000, 14);
+        report(5_000, 18, true);
+        assertFalse(upstream.isAccepting());
+    }
+
+    /** Guards against an upstream that gets no work because the clock of its machine was set back before its start. */
+    @Test
+    void upstreamWithAnEarlierStartTimeIsUsedOnceThePreviousOneIsSilent() {
+        report(5_000, 9);
+        upstream.onReport(new UpstreamReport("i-2", 3_000, 1, "stock", 20, false, 0));
+        assertEquals("i-1", upstream.getInstance());
+        reportAgain("i-2", 3_000, 2);
+        assertEquals("i-2", upstream.getInstance());
+        assertTrue(upstream.isAccepting());
+    }
+
+    @Test
+    void delayedReportsOfAnEarlierIncarnationAreIgnored() {
+        report(5_000, 9);
+        for (int i = 1; i < 20; i++) {
+            upstream.onReport(new UpstreamReport("i-0", 3_000, i, "stock", 20, false, 0));
+        }
+        assertEquals("i-1", upstream.getInstance());
+        for (int i = 0; i < 20; i++) {
+            clock.advance(1_500);
+            upstream.onReport(new UpstreamReport("i-0", 3_000, 20 + i, "stock", 20, false, 0));
+            report(5_000, 10 + i);
+            assertEquals("i-1", upstream.getInstance());
+        }
+    }
+
+    @Test
+    void leaveStaysAfterItsIncarnationIsBelievedAgain() {
+        report(5_000, 9);
+        upstream.onLeave("i-1", 5_000);
+        upstream.onReport(new UpstreamReport("other", 9_000_000, 7, "stock", 20, false, 0));
+        reportAgain("i-1", 5_000, 10);
+        assertEquals("i-1", upstream.getInstance());
+        assertFalse(upstream.isAccepting());
+    }
+
+    /** Sends three further reports of an incarnation at the usual interval. */
+    private void reportAgain(String instance, long startedAtMs, long firstSequence) {
+        for (int i = 0; i < 3; i++) {
+            clock.advance(1_500);
+            upstream.onReport(new UpstreamReport(instance, startedAtMs, firstSequence + i, "stock", 20, false, 0));
+        }
+    }
 }
