--- a/settings/src/main/java/io/cranberryarch/settings/serving/ServingRulesValidator.java
+++ b/settings/src/main/java/io/cranberryarch/settings/serving/ServingRulesValidator.java
@@ -49,10 +49,6 @@
         if (route.timeoutMs() <= 0) {
             faults.add(toLabel(route) + ": the timeout of " + route.timeoutMs() + " ms is not positive");
         }
-        if (route.objectiveMs() > route.timeoutMs()) {
-            faults.add(toLabel(route) + ": the target latency of " + route.objectiveMs() + " ms exceeds the timeout of "
-                    + route.timeoutMs() + " ms");
-        }
         for (WeightedService target : route.services()) {
             if (rules.findService(target.service()).isEmpty()) {
                 faults.add(toLabel(route) + ": unknown service '" + target.service() + "'");
