Give the recovery from stalls a class of its own, and repeat a failed record of leaves once

RulesService held two jobs. While the store was away, each report of a leaving upstream started a further series of repeated writes; there is one series now, found on reading the change.

--- a/mesh/src/main/java/io/cranberryarch/mesh/EntryService.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/EntryService.java
@@ -60,6 +60,7 @@
     private final MeshSettings settings;
     private final HeaderNames names;
     private final RulesService rules;
+    private final StallRecovery stallRecovery;
     private final Gate gate;
     private final Forwarder forwarder;
     private final QuotaService quotas;
@@ -78,6 +79,7 @@
             MeshSettings settings,
             HeaderNames names,
             RulesService rules,
+            StallRecovery stallRecovery,
             Gate gate,
             Forwarder forwarder,
             QuotaService quotas,
@@ -90,6 +92,7 @@
         this.settings = settings;
         this.names = names;
         this.rules = rules;
+        this.stallRecovery = stallRecovery;
         this.gate = gate;
         this.forwarder = forwarder;
         this.quotas = quotas;
@@ -167,7 +170,7 @@
                 return;
             }
             exchange.onAbandoned(this::abandon);
-            rules.decide(this::decide);
+            stallRecovery.decide(this::decide);
         }
 
         private void decide() {
@@ -381,7 +384,8 @@
                         + " status=" + status + " outcome=" + outcome + " took-ms=" + tookMs + " rules-version="
                         + rules.getVersion() + " rules-age-ms=" + rules.getAgeMs() + " store-age-ms="
                         + rules.getStoreAgeMs()
-                        + rules.findStallAgeMs()
+                        + stallRecovery
+                                .findStallAgeMs()
                                 .map(ageMs -> " since-stall-ms=" + ageMs)
                                 .orElse("")
                         + attempts.map(Forwarder.Attempts::toLogFields).orElse("") + logDetails.get());
--- a/mesh/src/main/java/io/cranberryarch/mesh/MeshNode.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/MeshNode.java
@@ -75,6 +75,7 @@
     private final UpstreamState upstream;
     private final UpstreamReportService reports;
     private final RulesService rules;
+    private final StallRecovery stallRecovery;
     private final Gate gate;
     private final UpstreamProbe probe;
     private final PeerDirectory peers;
@@ -122,6 +123,7 @@
         probe = new UpstreamProbe(loop, connections, names, upstream, log);
         peers = new PeerDirectory(loop, self, gate, upstream);
         rules = new RulesService(loop, store, reader, peers, log);
+        stallRecovery = new StallRecovery(loop, rules, log);
         quotas = new QuotaService(loop, peers, settings);
         WorkDemand workDemand = new WorkDemand();
         long incarnation = loop.wallMs();
@@ -146,6 +148,7 @@
                 settings,
                 names,
                 rules,
+                stallRecovery,
                 gate,
                 forwarder,
                 quotas,
@@ -158,7 +161,7 @@
         rules.addListener(peerService::broadcastStatus);
         rules.addListener(this::probeUpstream);
         loop.scheduleWithFixedDelay(StallDetector.CHECK_INTERVAL_MS, () -> {
-            rules.checkStall();
+            stallRecovery.check();
             upstream.checkReports(this.settings.reportIntervalMs());
         });
         addGauges();
@@ -206,6 +209,7 @@
         readinessServer = bind(settings.ready(), this::onReadinessRequest);
         metricsServer = bind(settings.metrics(), this::onMetrics);
         rules.start();
+        stallRecovery.start();
         reports.start(this::probeUpstream);
         counts.start();
         register();
--- a/mesh/src/main/java/io/cranberryarch/mesh/RulesService.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/RulesService.java
@@ -1,7 +1,6 @@
 package io.cranberryarch.mesh;
 
 import io.cranberryarch.decision.serving.LongPollSchedule;
-import io.cranberryarch.decision.serving.StallDetector;
 import io.cranberryarch.net.EventLoop;
 import io.cranberryarch.settings.SettingsException;
 import io.cranberryarch.settings.serving.ServingRules;
@@ -21,11 +20,6 @@
     private static final long MAX_RETRY_DELAY_MS = 1_600;
     private static final long PEER_REQUEST_INTERVAL_MS = 300;
 
-    /** The maximum time for which requests are held after a stall, until the store has confirmed the rules. */
-    private static final long MAX_CONFIRMATION_MS = 500;
-
-    private static final long CONFIRMATION_RETRY_DELAY_MS = 100;
-
     /** The maximum number of faults of a rejected document that are logged. */
     private static final int MAX_LOGGED_FAULTS = 5;
 
@@ -43,11 +37,6 @@
     private long lastStoreResponseAtMs;
     private long rulesChangedAtMs;
     private Optional<Poll> poll = Optional.empty();
-    private final StallDetector stalls;
-    private final List<Runnable> heldRequests = new ArrayList<>();
-    private long stalledAtMs = Long.MIN_VALUE;
-    private long confirmationDueAtMs;
-    private boolean isConfirming;
 
     RulesService(EventLoop loop, SharedStore store, RulesReader reader, PeerDirectory peers, EventLog log) {
         this.loop = loop;
@@ -57,7 +46,6 @@
         this.log = log;
         this.lastStoreResponseAtMs = loop.nowMs();
         this.rulesChangedAtMs = loop.nowMs();
-        this.stalls = new StallDetector(loop.nowMs());
     }
 
     void addListener(Runnable listener) {
@@ -65,8 +53,6 @@
     }
 
     void start() {
-        // The time that the start of the process took is no stall.
-        stalls.onTurn(loop.nowMs());
         read();
     }
 
@@ -88,91 +74,24 @@
         return loop.nowMs() - lastStoreResponseAtMs;
     }
 
-    /**
-     * Detects that the process did not run for some time, after which the rules in force may be outdated: they are
-     * confirmed by the store. Must be called at short intervals.
-     */
-    void checkStall() {
-        long nowMs = loop.nowMs();
-        Optional<Long> stallMs = stalls.onTurn(nowMs);
-        if (stallMs.isEmpty()) {
-            return;
-        }
-        stalledAtMs = nowMs;
-        log.info("event=process-stalled stall-ms=" + stallMs.get() + " version-in-force=" + getVersion()
-                + " store-age-ms=" + getStoreAgeMs());
-        confirmationDueAtMs = nowMs + MAX_CONFIRMATION_MS;
-        loop.schedule(MAX_CONFIRMATION_MS, this::endOverdueConfirmation);
-        if (!isConfirming) {
-            isConfirming = true;
-            confirm();
-        }
-    }
-
-    /**
-     * Decides on a request by the rules in force: at once, or once they are confirmed if the process has just stalled.
-     *
-     * @param decision the decision
-     */
-    void decide(Runnable decision) {
-        checkStall();
-        if (isConfirming) {
-            heldRequests.add(decision);
-        } else {
-            decision.run();
-        }
-    }
-
-    private void confirm() {
-        if (!isConfirming) {
-            return;
-        }
-        long confirmedStallAtMs = stalledAtMs;
+    /** Reads the document once, beside the poll, and applies it. */
+    void refresh(SharedStore.Callback<Void> callback) {
         store.readDocument(new SharedStore.Callback<>() {
             @Override
             public void onResult(Optional<byte[]> found, long revision) {
                 onStoreResponse();
                 found.ifPresent(bytes -> onDocument(bytes, "store"));
-                if (confirmedStallAtMs == stalledAtMs) {
-                    endConfirmation("store");
-                    return;
-                }
-                // The process stalled again since the store was asked.
-                confirm();
+                callback.onResult(null, revision);
             }
 
             @Override
             public void onFailure(SharedStore.StoreFailure failure) {
                 onStoreFailure(failure);
-                loop.schedule(CONFIRMATION_RETRY_DELAY_MS, RulesService.this::confirm);
+                callback.onFailure(failure);
             }
         });
     }
 
-    /** Decides the held requests by the rules in force, as the store does not respond. */
-    private void endOverdueConfirmation() {
-        if (isConfirming && loop.nowMs() >= confirmationDueAtMs) {
-            endConfirmation("none");
-        }
-    }
-
-    private void endConfirmation(String source) {
-        if (!isConfirming) {
-            return;
-        }
-        isConfirming = false;
-        log.info("event=rules-confirmed source=" + source + " version-in-force=" + getVersion() + " held="
-                + heldRequests.size() + " took-ms=" + (loop.nowMs() - stalledAtMs));
-        List<Runnable> released = new ArrayList<>(heldRequests);
-        heldRequests.clear();
-        released.forEach(Runnable::run);
-    }
-
-    /** Returns the milliseconds since the process last stalled, or empty if it has not. */
-    Optional<Long> findStallAgeMs() {
-        return stalledAtMs == Long.MIN_VALUE ? Optional.empty() : Optional.of(loop.nowMs() - stalledAtMs);
-    }
-
     Optional<byte[]> getDocument() {
         return document;
     }
--- a/mesh/src/main/java/io/cranberryarch/mesh/UpstreamReportService.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/UpstreamReportService.java
@@ -30,6 +30,7 @@
     private long recordedRevision;
     private boolean isRestored;
     private boolean isWriting;
+    private boolean isRetryScheduled;
     private long retryDelayMs;
 
     /**
@@ -164,9 +165,17 @@
         acknowledged.acknowledge().run();
     }
 
+    /** Repeats a call after a delay. Further calls that fail meanwhile are not repeated as well. */
     private void retry(Runnable call) {
+        if (isRetryScheduled) {
+            return;
+        }
+        isRetryScheduled = true;
         retryDelayMs = Math.min(MAX_RETRY_DELAY_MS, Math.max(INITIAL_RETRY_DELAY_MS, retryDelayMs * 2));
-        loop.schedule(retryDelayMs / 2 + Math.round(Math.random() * retryDelayMs / 2), call);
+        loop.schedule(retryDelayMs / 2 + Math.round(Math.random() * retryDelayMs / 2), () -> {
+            isRetryScheduled = false;
+            call.run();
+        });
     }
 
     /**
