--- a/settings/src/main/java/io/cranberryarch/settings/serving/ServingRulesValidator.java
+++ b/settings/src/main/java/io/cranberryarch/settings/serving/ServingRulesValidator.java
@@ -46,9 +46,6 @@
         if (!route.prefix().startsWith("/") || !route.prefix().endsWith("/")) {
             faults.add(toLabel(route) + ": the prefix '" + route.prefix() + "' does not start and end with a slash");
         }
-        if (route.timeoutMs() <= 0) {
-            faults.add(toLabel(route) + ": the timeout of " + route.timeoutMs() + " ms is not positive");
-        }
         for (WeightedService target : route.services()) {
             if (rules.findService(target.service()).isEmpty()) {
                 faults.add(toLabel(route) + ": unknown service '" + target.service() + "'");
