Log the rate limit that an upstream names

The gate now reads it from each response that bears the request's identifier, logs event=rate-limit-changed, shows it in gate-failure lines and as the metric gate_rate_limit. The name of a pair of identifier and start time is now UpstreamIncarnation, as it is used beyond leaves.

--- a/app/src/main/java/io/cranberryarch/app/ArchiveTraining.java
+++ b/app/src/main/java/io/cranberryarch/app/ArchiveTraining.java
@@ -8,7 +8,7 @@
 import io.cranberryarch.mesh.MeshNode;
 import io.cranberryarch.mesh.MeshSettings;
 import io.cranberryarch.mesh.SharedStore;
-import io.cranberryarch.mesh.UpstreamLeave;
+import io.cranberryarch.mesh.UpstreamIncarnation;
 import io.cranberryarch.mesh.UpstreamReport;
 import io.cranberryarch.net.ByteBudget;
 import io.cranberryarch.net.EventLoop;
@@ -289,12 +289,12 @@
         }
 
         @Override
-        public void writeLeaves(String node, List<UpstreamLeave> leaves, Callback<Void> callback) {
+        public void writeLeaves(String node, List<UpstreamIncarnation> leaves, Callback<Void> callback) {
             complete(callback, null);
         }
 
         @Override
-        public void readLeaves(String node, Callback<List<UpstreamLeave>> callback) {
+        public void readLeaves(String node, Callback<List<UpstreamIncarnation>> callback) {
             complete(callback, List.of());
         }
 
--- a/decision/src/main/java/io/cranberryarch/decision/serving/SlotScheduler.java
+++ b/decision/src/main/java/io/cranberryarch/decision/serving/SlotScheduler.java
@@ -7,8 +7,8 @@
 import java.util.Set;
 
 /**
- * Decides which requests of one upstream run, which wait for a slot, and which cannot run in time and are refused. Not
- * thread-safe.
+ * Decides which requests of one upstream run, which wait for a slot or for the upstream's rate limit, and which are
+ * refused, as they cannot run in time or another instance may run them sooner. Not thread-safe.
  *
  * <pre>
  * switch (scheduler.offer(run, rank, deadlineMs, limit, nowMs)) {
@@ -30,17 +30,35 @@
     /** The share of the slots reserved for new connections and health checks, which briefly occupy a slot. */
     private static final double RESERVED_SLOT_RATIO = 0.05;
 
+    /** The maximum time that a request waits for the rate limit, as another instance may have capacity to spare. */
+    private static final double MAX_RATE_LIMIT_WAIT_MS = 200;
+
+    private final UpstreamRateLimit rateLimit;
     private final RankQueue<T> waiting = new RankQueue<>();
     private final Set<T> running = new HashSet<>();
     private double meanDurationMs = INITIAL_DURATION_MS;
 
+    /** Creates a scheduler without a rate limit. */
+    public SlotScheduler() {
+        this(new UpstreamRateLimit());
+    }
+
+    /**
+     * Creates a scheduler.
+     *
+     * @param rateLimit the rate limit of the upstream, which may change later
+     */
+    public SlotScheduler(UpstreamRateLimit rateLimit) {
+        this.rateLimit = rateLimit;
+    }
+
     /** What to do with a new request. */
     public enum Decision {
         /** The request runs now and occupies a slot. */
         START,
-        /** The request waits; {@link #pollNext} returns it once a slot is free. */
+        /** The request waits; {@link #pollNext} returns it once a slot is free and the rate limit permits it. */
         WAIT,
-        /** The request cannot run in time. */
+        /** The request cannot run in time, or would wait too long for the rate limit. */
         REFUSE
     }
 
@@ -65,12 +83,16 @@
      * @return the decision
      */
     public Decision offer(T item, int rank, long deadlineMs, int limit, long nowMs) {
-        if (running.size() < limit) {
+        boolean isSlotFree = running.size() < limit;
+        int ahead = waiting.countAhead(rank);
+        double rateLimitWaitMs = rateLimit.toWaitMs(ahead, nowMs);
+        if (isSlotFree && rateLimitWaitMs == 0 && rateLimit.tryAcquire(nowMs)) {
             running.add(item);
             return Decision.START;
         }
-        double waitMs = (waiting.countAhead(rank) + 1) * meanDurationMs / limit;
-        if (waitMs + meanDurationMs > deadlineMs - nowMs) {
+        double slotWaitMs = isSlotFree ? 0 : (ahead + 1) * meanDurationMs / limit;
+        double waitMs = Math.max(slotWaitMs, rateLimitWaitMs);
+        if (rateLimitWaitMs > MAX_RATE_LIMIT_WAIT_MS || waitMs + meanDurationMs > deadlineMs - nowMs) {
             return Decision.REFUSE;
         }
         waiting.add(item, rank, deadlineMs - Math.round(meanDurationMs));
@@ -78,13 +100,15 @@
     }
 
     /**
-     * Removes the next waiting request if a slot is free; it then runs.
+     * Removes the next waiting request if a slot is free and the rate limit permits it; it then runs.
      *
      * @param limit the number of requests that may run concurrently
-     * @return the request, or empty if none waits or no slot is free
+     * @param nowMs the time in milliseconds
+     * @return the request, or empty if none waits or none may start
      */
-    public Optional<T> pollNext(int limit) {
-        if (running.size() >= limit) {
+    public Optional<T> pollNext(int limit, long nowMs) {
+        boolean isStartable = running.size() < limit && waiting.getSize() > 0;
+        if (!isStartable || !rateLimit.tryAcquire(nowMs)) {
             return Optional.empty();
         }
         Optional<T> next = waiting.poll();
@@ -149,6 +173,17 @@
         meanDurationMs += DURATION_SMOOTHING_FACTOR * (durationMs - meanDurationMs);
     }
 
+    /**
+     * Returns the concurrency that the reported load refers to: the slots, or fewer if the rate limit does not permit to
+     * use them all.
+     *
+     * @param limit the number of requests that may run concurrently
+     * @return the mean number of requests in progress at full load, which may be a fraction
+     */
+    public double toUsableConcurrency(int limit) {
+        return rateLimit.toConcurrency(limit, meanDurationMs);
+    }
+
     /**
      * Returns the number of running requests.
      *
--- a/decision/src/test/java/io/cranberryarch/decision/serving/SlotSchedulerTest.java
+++ b/decision/src/test/java/io/cranberryarch/decision/serving/SlotSchedulerTest.java
@@ -32,7 +32,7 @@
         assertEquals(Decision.WAIT, scheduler.offer("c", 0, 1_000, 2, 0));
         assertEquals(2, scheduler.countRunning());
         assertEquals(1, scheduler.countWaiting());
-        assertEquals(Optional.empty(), scheduler.pollNext(2));
+        assertEquals(Optional.empty(), scheduler.pollNext(2, 0));
     }
 
     @Test
@@ -41,9 +41,9 @@
         scheduler.offer("read", 2, 1_000, 1, 0);
         scheduler.offer("order", 0, 1_000, 1, 0);
         assertTrue(scheduler.release("a"));
-        assertEquals(Optional.of("order"), scheduler.pollNext(1));
+        assertEquals(Optional.of("order"), scheduler.pollNext(1, 0));
         assertTrue(scheduler.release("order"));
-        assertEquals(Optional.of("read"), scheduler.pollNext(1));
+        assertEquals(Optional.of("read"), scheduler.pollNext(1, 0));
     }
 
     @Test
@@ -72,6 +72,6 @@
         assertTrue(scheduler.removeWaiting("b"));
         assertFalse(scheduler.release("b"));
         assertTrue(scheduler.release("a"));
-        assertEquals(Optional.empty(), scheduler.pollNext(1));
+        assertEquals(Optional.empty(), scheduler.pollNext(1, 0));
     }
 }
--- a/experiment/src/main/java/io/cranberryarch/experiment/serving/ModelRun.java
+++ b/experiment/src/main/java/io/cranberryarch/experiment/serving/ModelRun.java
@@ -146,6 +146,6 @@
         isDone = true;
         activeCall.ifPresent(ModelSend::cancel);
         node.getScheduler().release(this);
-        node.getScheduler().pollNext(node.getLimit()).ifPresent(ModelRun::start);
+        node.getScheduler().pollNext(node.getLimit(), node.getFleet().nowMs()).ifPresent(ModelRun::start);
     }
 }
--- a/mesh/src/main/java/io/cranberryarch/mesh/Gate.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/Gate.java
@@ -36,7 +36,7 @@
     /** How long after its last run, or after the start of the node, the upstream may still make nested calls. */
     private static final long NESTED_CALL_WINDOW_MS = 6_000;
 
-    private static final long EXPIRY_CHECK_INTERVAL_MS = 25;
+    private static final long QUEUE_CHECK_INTERVAL_MS = 25;
 
     /** Number of refused requests whose identifiers are kept to detect that a refusal is repeated. */
     private static final int MAX_REFUSED_IDS = 1_024;
@@ -47,10 +47,11 @@
     private final HeaderNames names;
     private final EventLog log;
     private final HttpClientPool connections;
-    private final SlotScheduler<Run> scheduler = new SlotScheduler<>();
+    private final SlotScheduler<Run> scheduler;
     private final RunRegistry<Run> runRegistry = new RunRegistry<>();
     private final FailureRatio failures = FailureRatio.ofUpstream();
     private final UpstreamState upstream;
+    private final RateLimitTracker rateLimit;
     private final Set<String> echoedHeaders;
     private final Set<String> refusedIds = Collections.newSetFromMap(new LinkedHashMap<>() {
         @Override
@@ -59,12 +60,20 @@
         }
     });
     private long lastRunEndedAtMs;
-    private boolean isExpiryCheckScheduled;
-
-    Gate(EventLoop loop, HttpClientPool connections, HeaderNames names, UpstreamState upstream, EventLog log) {
+    private boolean isQueueCheckScheduled;
+
+    Gate(
+            EventLoop loop,
+            HttpClientPool connections,
+            HeaderNames names,
+            UpstreamState upstream,
+            RateLimitTracker rateLimit,
+            EventLog log) {
         this.loop = loop;
         this.names = names;
         this.upstream = upstream;
+        this.rateLimit = rateLimit;
+        this.scheduler = new SlotScheduler<>();
         this.log = log;
         this.connections = connections;
         this.echoedHeaders = Set.of(names.requestId().toLowerCase(Locale.ROOT));
@@ -88,7 +97,7 @@
         }
         switch (scheduler.offer(run, request.rank(), run.deadlineMs, getLimit(), loop.nowMs())) {
             case START -> run.start();
-            case WAIT -> scheduleExpiryCheck();
+            case WAIT -> scheduleQueueCheck();
             default -> run.finish(fail(Execution.NOT_RUN, "overloaded"));
         }
         return run::cancel;
@@ -142,20 +151,21 @@
                 execution, reason, upstream.isKnown() ? getLimit() : 0, countInFlight(), getFailureRatio());
     }
 
-    /** Schedules an expiry check if requests are waiting, so that an idle node is not woken up. */
-    private void scheduleExpiryCheck() {
-        if (!isExpiryCheckScheduled && scheduler.countWaiting() > 0) {
-            isExpiryCheckScheduled = true;
-            loop.schedule(EXPIRY_CHECK_INTERVAL_MS, this::refuseExpired);
+    /** Schedules a check of the queue if requests are waiting, so that an idle node is not woken up. */
+    private void scheduleQueueCheck() {
+        if (!isQueueCheckScheduled && scheduler.countWaiting() > 0) {
+            isQueueCheckScheduled = true;
+            loop.schedule(QUEUE_CHECK_INTERVAL_MS, this::checkQueue);
         }
     }
 
-    private void refuseExpired() {
-        isExpiryCheckScheduled = false;
+    /** Refuses the requests that have waited too long. */
+    private void checkQueue() {
+        isQueueCheckScheduled = false;
         for (Run run : scheduler.removeExpired(loop.nowMs())) {
             run.finish(fail(Execution.NOT_RUN, "overloaded"));
         }
-        scheduleExpiryCheck();
+        scheduleQueueCheck();
     }
 
     /** Refuses the requests that have not been sent to the upstream, if the upstream leaves. */
@@ -172,7 +182,7 @@
     }
 
     private void startNext() {
-        Optional<Run> next = scheduler.pollNext(getLimit());
+        Optional<Run> next = scheduler.pollNext(getLimit(), loop.nowMs());
         while (next.isPresent()) {
             Run run = next.get();
             if (upstream.isLeaving() || !upstream.isKnown()) {
@@ -181,7 +191,7 @@
             } else {
                 run.start();
             }
-            next = scheduler.pollNext(getLimit());
+            next = scheduler.pollNext(getLimit(), loop.nowMs());
         }
     }
 
@@ -193,6 +203,7 @@
         private final Map<String, Double> slotTimesMs = new HashMap<>();
         private long deadlineMs;
         private long startedAtMs;
+        private UpstreamIncarnation incarnation;
         private Optional<HttpClientConnection> connection = Optional.empty();
         private Optional<EventLoop.Timer> timeout = Optional.empty();
         private int servedCalls;
@@ -236,6 +247,7 @@
 
         private void start() {
             startedAtMs = loop.nowMs();
+            incarnation = upstream.getIncarnation();
             deadlineMs = runRegistry.add(this, request.requestId(), deadlineMs);
             long leftMs = Math.max(1, deadlineMs - startedAtMs);
             List<HeaderField> headers = new ArrayList<>(request.headers());
@@ -264,6 +276,7 @@
                 end(fail(Execution.UNKNOWN, "answer-without-id"));
                 return;
             }
+            applyStateOfUpstream(response);
             boolean isRefusal = response.findHeader(names.notExecuted()).isPresent();
             if (isRefusal || response.status() == MISDIRECTED_REQUEST) {
                 onRefused(response.status());
@@ -287,6 +300,11 @@
                     getFailureRatio()));
         }
 
+        /** Applies what the upstream states about itself in any response. */
+        private void applyStateOfUpstream(HttpResponseMessage response) {
+            rateLimit.onResponse(incarnation, startedAtMs, response.findHeader(names.rateLimit()));
+        }
+
         private void onRefused(int status) {
             if (!refusedIds.add(request.requestId())) {
                 // Nested calls may be made again under the same identifier, so this may be the earlier refusal.
@@ -367,7 +385,8 @@
                         + " instance=" + upstream.getInstance() + " execution="
                         + answer.execution().toText() + " reason=" + answer.reason() + " rank=" + request.rank()
                         + " running=" + scheduler.countRunning() + " waiting=" + scheduler.countWaiting() + " limit="
-                        + answer.limit()
+                        + answer.limit() + " rate-limit="
+                        + RateLimitTracker.toText(rateLimit.getLimit().getRatePerS())
                         + " left-ms=" + (deadlineMs - loop.nowMs()));
             }
             callback.accept(answer);
--- a/mesh/src/main/java/io/cranberryarch/mesh/MeshNode.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/MeshNode.java
@@ -76,6 +76,7 @@
     private final UpstreamReportService reports;
     private final RulesService rules;
     private final StallRecovery stallRecovery;
+    private final RateLimitTracker rateLimit;
     private final Gate gate;
     private final UpstreamProbe probe;
     private final PeerDirectory peers;
@@ -119,7 +120,8 @@
         reports = new UpstreamReportService(loop, settings.node(), upstream, store, log);
         HttpClientPool connections = new HttpClientPool(
                 loop, settings.upstream(), MAX_RESPONSE_BODY_BYTES, MAX_CONNECTION_IDLE_MS, responseBytes);
-        gate = new Gate(loop, connections, names, upstream, log);
+        rateLimit = new RateLimitTracker(loop, upstream, log);
+        gate = new Gate(loop, connections, names, upstream, rateLimit, log);
         probe = new UpstreamProbe(loop, connections, names, upstream, log);
         peers = new PeerDirectory(loop, self, gate, upstream);
         rules = new RulesService(loop, store, reader, peers, log);
@@ -178,6 +180,8 @@
         metrics.gauge("gate_busy", gate::countInFlight);
         metrics.gauge("gate_waiting", gate::countWaiting);
         metrics.gauge("gate_limit", gate::getLimit);
+        metrics.gauge(
+                "gate_rate_limit", () -> rateLimit.getLimit().getRatePerS().orElse(Double.NaN));
         metrics.gauge("upstream_answer_bytes_held", responseBytes::getHeldBytes);
         metrics.gauge("counts_increments_waiting", counts::countWaiting);
         metrics.gauge("log_lines_left_out", log::countDroppedLines);
--- a/mesh/src/main/java/io/cranberryarch/mesh/SharedStore.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/SharedStore.java
@@ -66,7 +66,7 @@
      * @param leaves the incarnations
      * @param callback receives the outcome
      */
-    void writeLeaves(String node, List<UpstreamLeave> leaves, Callback<Void> callback);
+    void writeLeaves(String node, List<UpstreamIncarnation> leaves, Callback<Void> callback);
 
     /**
      * Reads which incarnations of the upstream of a node have announced that they leave.
@@ -74,7 +74,7 @@
      * @param node the name of the node
      * @param callback receives the incarnations, none if nothing was written
      */
-    void readLeaves(String node, Callback<List<UpstreamLeave>> callback);
+    void readLeaves(String node, Callback<List<UpstreamIncarnation>> callback);
 
     /**
      * Writes an object, replacing an earlier one of the same name.
--- a/mesh/src/main/java/io/cranberryarch/mesh/UpstreamReportService.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/UpstreamReportService.java
@@ -99,7 +99,7 @@
         }));
     }
 
-    private void restore(List<UpstreamLeave> leaves) {
+    private void restore(List<UpstreamIncarnation> leaves) {
         boolean isRecorded = upstream.getLeavesRevision() == 0;
         upstream.restoreLeaves(leaves);
         if (isRecorded) {
--- a/mesh/src/main/java/io/cranberryarch/mesh/UpstreamState.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/UpstreamState.java
@@ -16,9 +16,6 @@
     /** The number of consecutive reports that may be missed before the upstream is treated as unreachable. */
     private static final int MAX_MISSED_REPORTS = 3;
 
-    /** The start time of an incarnation of which only the identifier is known. */
-    private static final long UNKNOWN_START_MS = 0;
-
     /** The number of incarnations that have left which are remembered, the newest ones. */
     private static final int MAX_LEFT_INCARNATIONS = 16;
 
@@ -70,7 +67,8 @@
         if (report.isLeaving()) {
             applyLeave(report.instance(), report.startedAtMs(), "report");
         }
-        boolean isStartUnknown = report.instance().equals(instance) && startedAtMs == UNKNOWN_START_MS;
+        boolean isStartUnknown =
+                report.instance().equals(instance) && startedAtMs == UpstreamIncarnation.UNKNOWN_START_MS;
         boolean isNewInstance =
                 !report.instance().equals(instance) || (report.startedAtMs() > startedAtMs && !isStartUnknown);
         Optional<String> ignoredReason = findIgnoredReason(report, isNewInstance);
@@ -129,7 +127,7 @@
 
     /** Records that an incarnation leaves, which may not be known yet, and returns whether it is the current one. */
     private boolean applyLeave(String leavingInstance, long leavingStartedAtMs, String reason) {
-        boolean isStartUnknown = leavingStartedAtMs == UNKNOWN_START_MS;
+        boolean isStartUnknown = leavingStartedAtMs == UpstreamIncarnation.UNKNOWN_START_MS;
         boolean isCurrent = leavingInstance.equals(instance) && (isStartUnknown || leavingStartedAtMs >= startedAtMs);
         addLeave(leavingInstance, isStartUnknown && isCurrent ? startedAtMs : leavingStartedAtMs);
         if (isCurrent && !isLeaving) {
@@ -140,7 +138,7 @@
     }
 
     /** Applies the leaves that an earlier process of the node has acknowledged. */
-    void restoreLeaves(List<UpstreamLeave> leaves) {
+    void restoreLeaves(List<UpstreamIncarnation> leaves) {
         leaves.forEach(leave -> addLeave(leave.instance(), leave.startedAtMs()));
         if (isKnown() && !isLeaving && hasLeft(instance, startedAtMs)) {
             isLeaving = true;
@@ -149,9 +147,9 @@
     }
 
     /** Returns the newest incarnations that have announced that they leave. */
-    List<UpstreamLeave> getLeaves() {
-        List<UpstreamLeave> leaves = new ArrayList<>();
-        leftIncarnations.forEach((left, leftStartedAtMs) -> leaves.add(new UpstreamLeave(left, leftStartedAtMs)));
+    List<UpstreamIncarnation> getLeaves() {
+        List<UpstreamIncarnation> leaves = new ArrayList<>();
+        leftIncarnations.forEach((left, leftStartedAtMs) -> leaves.add(new UpstreamIncarnation(left, leftStartedAtMs)));
         return leaves;
     }
 
@@ -254,6 +252,11 @@
         return instance;
     }
 
+    /** Returns the current incarnation, whose identifier is empty if the upstream is not known. */
+    UpstreamIncarnation getIncarnation() {
+        return new UpstreamIncarnation(instance, startedAtMs);
+    }
+
     String getService() {
         return service;
     }
--- a/mesh/src/test/java/io/cranberryarch/mesh/FakeStore.java
+++ b/mesh/src/test/java/io/cranberryarch/mesh/FakeStore.java
@@ -14,7 +14,7 @@
 
     private final Map<String, PeerInfo> peers = new LinkedHashMap<>();
     private final Map<String, byte[]> objects = new LinkedHashMap<>();
-    private final Map<String, List<UpstreamLeave>> leaves = new LinkedHashMap<>();
+    private final Map<String, List<UpstreamIncarnation>> leaves = new LinkedHashMap<>();
     private final List<Wait> waiting = new ArrayList<>();
     private byte[] document;
     private long revision = 1;
@@ -135,7 +135,7 @@
         }
 
         @Override
-        public void writeLeaves(String node, List<UpstreamLeave> newLeaves, Callback<Void> callback) {
+        public void writeLeaves(String node, List<UpstreamIncarnation> newLeaves, Callback<Void> callback) {
             synchronized (FakeStore.this) {
                 if (!isUnavailable) {
                     leaves.put(node, newLeaves);
@@ -145,7 +145,7 @@
         }
 
         @Override
-        public void readLeaves(String node, Callback<List<UpstreamLeave>> callback) {
+        public void readLeaves(String node, Callback<List<UpstreamIncarnation>> callback) {
             synchronized (FakeStore.this) {
                 if (areLeavesUnavailable) {
                     loop.execute(() -> callback.onFailure(new StoreFailure(false, "unavailable")));
--- a/mesh/src/test/java/io/cranberryarch/mesh/GateTest.java
+++ b/mesh/src/test/java/io/cranberryarch/mesh/GateTest.java
@@ -108,7 +108,8 @@
             UpstreamState upstream = new UpstreamState(loop, log);
             upstream.onReport(new UpstreamReport("i-1", 1, 1, "stock", 1, false, 0));
             HttpClientPool pool = new HttpClientPool(loop, address, 1_000, 1_000, new ByteBudget(1_000));
-            Gate gate = new Gate(loop, pool, TestHeaderNames.NAMES, upstream, log);
+            RateLimitTracker rateLimit = new RateLimitTracker(loop, upstream, log);
+            Gate gate = new Gate(loop, pool, TestHeaderNames.NAMES, upstream, rateLimit, log);
             List<String> answers = new ArrayList<>();
             gate.handle(toRequest("connecting"), answer -> answers.add(answer.execution() + " " + answer.reason()));
             gate.handle(toRequest("waiting"), answer -> answers.add(answer.execution() + " " + answer.reason()));
--- a/mesh/src/test/java/io/cranberryarch/mesh/TestHeaderNames.java
+++ b/mesh/src/test/java/io/cranberryarch/mesh/TestHeaderNames.java
@@ -12,6 +12,7 @@
             "Test-Instance",
             "Test-Stamp",
             "Test-Not-Executed",
+            "Test-Rate-Limit",
             ".");
 
     private TestHeaderNames() {}
