Send an upstream no more requests a second than it names

What callers and upstreams saw: an upstream in need named the requests a second that it takes and went on getting its usual share. Cause: a gate bounds the requests in progress by slots; nothing bounded requests a second, and the header was passed on unread. Ruled out: a restart (none before the breach) and repeats on another path (all sends pass the gate). Fix: the gate, the one place that all sends pass (first sends, repeats, hedged attempts, nested calls), takes a permission of the rate for each. The load that nodes report refers to the requests in progress that the limit permits, so that selection prefers other instances and the detector of overload refuses the least important call trees at the first entry if all are limited. With a limit of 0 one request in 2 s is still sent, as only a response can end the limit; after 2 s without a request the node reports all slots again, so that other nodes, which prefer instances without a limit, select the upstream for one. A new process of a node is told by the nodes that it connects to what they know of its upstream, before any request on that connection: they stay bound by a response that they passed on. UpstreamRateLimitTest holds the bound for any sequence of pauses with a restart among them.

--- a/context/src/main/java/io/cranberryarch/context/ForwardedAnswer.java
+++ b/context/src/main/java/io/cranberryarch/context/ForwardedAnswer.java
@@ -12,7 +12,7 @@
  * @param headers the headers of the upstream's answer
  * @param body the complete body of the upstream's answer, not copied
  * @param slotTimesMs the slot time that the request and its nested calls used, in milliseconds by service
- * @param limit the maximum number of requests that the instance runs concurrently
+ * @param limit the number of requests that the instance runs concurrently at full load, 0 if unknown
  * @param inFlight the number of requests that run or wait at the instance
  * @param upstreamFailureRatio the ratio of requests that fail at the upstream itself, from 0 to 1
  */
@@ -24,7 +24,7 @@
         List<HeaderField> headers,
         byte[] body,
         Map<String, Double> slotTimesMs,
-        int limit,
+        double limit,
         int inFlight,
         double upstreamFailureRatio) {
 
@@ -49,13 +49,13 @@
      *
      * @param execution whether the request ran
      * @param reason the reason why there is no answer
-     * @param limit the maximum number of requests that the instance runs concurrently, 0 if unknown
+     * @param limit the number of requests that the instance runs concurrently at full load, 0 if unknown
      * @param inFlight the number of requests that run or wait at the instance
      * @param upstreamFailureRatio the ratio of requests that fail at the upstream itself, from 0 to 1
      * @return the outcome
      */
     public static ForwardedAnswer ofFailure(
-            Execution execution, String reason, int limit, int inFlight, double upstreamFailureRatio) {
+            Execution execution, String reason, double limit, int inFlight, double upstreamFailureRatio) {
         return new ForwardedAnswer(
                 execution, reason, 0, List.of(), NO_BODY, Map.of(), limit, inFlight, upstreamFailureRatio);
     }
--- a/decision/src/main/java/io/cranberryarch/decision/serving/InstanceLoad.java
+++ b/decision/src/main/java/io/cranberryarch/decision/serving/InstanceLoad.java
@@ -10,8 +10,11 @@
     /** An upstream that has just started runs at about half of its normal speed. */
     private static final double COLD_LIMIT_RATIO = 0.5;
 
+    /** The lowest limit that is believed, so that an instance with a limit of 0 has a finite cost. */
+    private static final double MIN_LIMIT = 0.001;
+
     private final FailureRatio failures = new FailureRatio(FAILURE_WEIGHT, FAILURE_HALF_LIFE_MS);
-    private int limit = 1;
+    private double limit = 1;
     private double upstreamFailureRatio;
     private int reportedInFlight;
     private int sentSinceReport;
@@ -20,13 +23,13 @@
     /**
      * Applies a load report of the instance.
      *
-     * @param newLimit the maximum number of requests that it runs concurrently
+     * @param newLimit the number of requests that it runs concurrently at full load, below 1 if its rate limit is low
      * @param inFlight the requests that run or wait there
      * @param newFailureRatio the ratio of requests that fail in its upstream itself, from 0 to 1
      */
-    public void onReport(int newLimit, int inFlight, double newFailureRatio) {
+    public void onReport(double newLimit, int inFlight, double newFailureRatio) {
         upstreamFailureRatio = newFailureRatio;
-        limit = Math.max(1, newLimit);
+        limit = Math.max(MIN_LIMIT, newLimit);
         reportedInFlight = inFlight;
         sentSinceReport = 0;
     }
@@ -81,7 +84,7 @@
      * @return the maximum number of concurrent requests, reduced during the cold start
      */
     public double getLimit(long nowMs) {
-        return nowMs < coldStartEndMs ? Math.max(1, limit * COLD_LIMIT_RATIO) : limit;
+        return nowMs < coldStartEndMs ? Math.max(Math.min(1, limit), limit * COLD_LIMIT_RATIO) : limit;
     }
 
     /**
@@ -108,9 +111,11 @@
      * Returns the cost of sending another request to the instance.
      *
      * @param nowMs the time in milliseconds
-     * @return 1 if the request would occupy the last slot of an instance without failures, higher for worse instances
+     * @return 1 if the request would use the last of the limit of an instance without failures, higher for worse ones
      */
     public double toCost(long nowMs) {
-        return (getInFlight() + 1) / getLimit(nowMs) + FAILURE_COST * (upstreamFailureRatio + getFailureRatio(nowMs));
+        double currentLimit = getLimit(nowMs);
+        double usedRatio = (getInFlight() + Math.min(1, currentLimit)) / currentLimit;
+        return usedRatio + FAILURE_COST * (upstreamFailureRatio + getFailureRatio(nowMs));
     }
 }
--- a/decision/src/main/java/io/cranberryarch/decision/serving/SlotScheduler.java
+++ b/decision/src/main/java/io/cranberryarch/decision/serving/SlotScheduler.java
@@ -174,14 +174,15 @@
     }
 
     /**
-     * Returns the concurrency that the reported load refers to: the slots, or fewer if the rate limit does not permit to
-     * use them all.
+     * Returns the concurrency that the reported load refers to: the slots, or fewer if the rate limit does not permit
+     * to use them all.
      *
      * @param limit the number of requests that may run concurrently
+     * @param nowMs the time in milliseconds
      * @return the mean number of requests in progress at full load, which may be a fraction
      */
-    public double toUsableConcurrency(int limit) {
-        return rateLimit.toConcurrency(limit, meanDurationMs);
+    public double toUsableConcurrency(int limit, long nowMs) {
+        return rateLimit.toConcurrency(limit, meanDurationMs, nowMs);
     }
 
     /**
--- a/decision/src/main/java/io/cranberryarch/decision/serving/UpstreamRateLimit.java
+++ b/decision/src/main/java/io/cranberryarch/decision/serving/UpstreamRateLimit.java
@@ -3,8 +3,8 @@
 import java.util.Optional;
 
 /**
- * Limits the rate of requests to an upstream to what the upstream names in its responses. The limit holds as long as the
- * responses name it. Not thread-safe.
+ * Limits the rate of requests to an upstream to what the upstream names in its responses. The limit holds as long as
+ * the responses name it. Not thread-safe.
  *
  * <pre>
  * limit.onResponse(sentAtMs, response.findRate(), nowMs);
@@ -26,11 +26,15 @@
 
     private static final double MS_PER_S = 1_000;
 
+    /** The time without a request after which one is needed to learn whether the limit still holds. */
+    private static final double MAX_IDLE_MS = MS_PER_S / MIN_RATE_PER_S;
+
     private Optional<Double> ratePerS = Optional.empty();
     private boolean isConfirmed;
     private long namedAtMs;
     private double tokens;
     private long refilledAtMs;
+    private long acquiredAtMs;
 
     /**
      * Applies a response of the upstream.
@@ -105,6 +109,7 @@
             return false;
         }
         tokens--;
+        acquiredAtMs = nowMs;
         return true;
     }
 
@@ -124,20 +129,26 @@
     }
 
     /**
-     * Returns how many requests run concurrently if they are sent at the limit.
+     * Returns how many requests run concurrently if they are sent at the limit. After some time without a request, all
+     * slots are returned, so that the upstream is selected for one and its response tells whether the limit holds.
      *
      * @param slots the number of requests that the upstream runs concurrently without a limit
      * @param meanDurationMs the mean duration of a request, in milliseconds
+     * @param nowMs the time in milliseconds
      * @return the number of requests, at most {@code slots}
      */
-    public double toConcurrency(int slots, double meanDurationMs) {
-        return ratePerS.isEmpty() ? slots : Math.min(slots, toEffectiveRate() * meanDurationMs / MS_PER_S);
+    public double toConcurrency(int slots, double meanDurationMs, long nowMs) {
+        if (ratePerS.isEmpty() || nowMs - acquiredAtMs >= MAX_IDLE_MS) {
+            return slots;
+        }
+        return Math.min(slots, toEffectiveRate() * meanDurationMs / MS_PER_S);
     }
 
     private void setRate(Optional<Double> newRatePerS, long nowMs) {
         refill(nowMs);
         if (ratePerS.isEmpty()) {
             tokens = 0;
+            acquiredAtMs = nowMs;
         }
         ratePerS = newRatePerS;
         refill(nowMs);
--- a/decision/src/test/java/io/cranberryarch/decision/serving/UpstreamRateLimitTest.java
+++ b/decision/src/test/java/io/cranberryarch/decision/serving/UpstreamRateLimitTest.java
@@ -25,7 +25,7 @@
 
     private final UpstreamRateLimit limit = new UpstreamRateLimit();
 
-    /** Guards against bursts beyond the limit, whatever the pauses between requests, and after a restart of the node. */
+    /** Guards against bursts beyond the limit, whatever the pauses of requests, and after a restart of the node. */
     @Property(tries = 300, seed = "1")
     void requestsOfEachWindowStayWithinTheLimit(
             @ForAll @DoubleRange(max = 200) double ratePerS,
@@ -61,7 +61,7 @@
             assertTrue(limit.tryAcquire(10));
         }
         assertEquals(0, limit.toWaitMs(100, 10));
-        assertEquals(20, limit.toConcurrency(20, 50));
+        assertEquals(20, limit.toConcurrency(20, 50, 10));
     }
 
     @Test
@@ -111,8 +111,18 @@
     @Test
     void concurrencyAtTheLimitFollowsTheDuration() {
         limit.onResponse(0, Optional.of(20.0), 0);
-        assertEquals(2, limit.toConcurrency(100, 100), 1e-9);
-        assertEquals(100, limit.toConcurrency(100, 60_000), 1e-9);
+        assertEquals(2, limit.toConcurrency(100, 100, 0), 1e-9);
+        assertEquals(100, limit.toConcurrency(100, 60_000, 0), 1e-9);
+    }
+
+    /** Guards against an upstream that is never selected again, so that no response can end its limit. */
+    @Test
+    void upstreamWithoutRequestsIsSelectedAgain() {
+        limit.onResponse(0, Optional.of(0.0), 0);
+        assertTrue(limit.toConcurrency(100, 100, 1_999) < 1);
+        assertEquals(100, limit.toConcurrency(100, 100, 2_000));
+        assertTrue(limit.tryAcquire(2_000));
+        assertTrue(limit.toConcurrency(100, 100, 2_000) < 1);
     }
 
     @Test
--- a/mesh/src/main/java/io/cranberryarch/mesh/Gate.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/Gate.java
@@ -26,8 +26,9 @@
 import java.util.function.Consumer;
 
 /**
- * Limits the concurrency of the upstream on the node's host: sends it no more requests than it has slots, queues the
- * others by rank, and refuses requests that cannot run in time or that the upstream no longer accepts.
+ * Limits the concurrency and the rate of requests of the upstream on the node's host: sends it no more requests than it
+ * has slots and takes a second, queues the others by rank, and refuses requests that cannot run in time or that the
+ * upstream no longer accepts.
  */
 final class Gate {
 
@@ -73,7 +74,7 @@
         this.names = names;
         this.upstream = upstream;
         this.rateLimit = rateLimit;
-        this.scheduler = new SlotScheduler<>();
+        this.scheduler = new SlotScheduler<>(rateLimit.getLimit());
         this.log = log;
         this.connections = connections;
         this.echoedHeaders = Set.of(names.requestId().toLowerCase(Locale.ROOT));
@@ -123,6 +124,11 @@
         return SlotScheduler.toLimit(upstream.getSlots());
     }
 
+    /** Returns the number of requests that the upstream runs at full load, less than its slots at a rate limit. */
+    double getUsableLimit() {
+        return scheduler.toUsableConcurrency(getLimit(), loop.nowMs());
+    }
+
     /** Returns the share of requests that fail because of the upstream itself, from 0 to 1. */
     double getFailureRatio() {
         return failures.get(loop.nowMs());
@@ -148,7 +154,7 @@
 
     private ForwardedAnswer fail(Execution execution, String reason) {
         return ForwardedAnswer.ofFailure(
-                execution, reason, upstream.isKnown() ? getLimit() : 0, countInFlight(), getFailureRatio());
+                execution, reason, upstream.isKnown() ? getUsableLimit() : 0, countInFlight(), getFailureRatio());
     }
 
     /** Schedules a check of the queue if requests are waiting, so that an idle node is not woken up. */
@@ -159,12 +165,13 @@
         }
     }
 
-    /** Refuses the requests that have waited too long. */
+    /** Refuses the requests that have waited too long, and starts those that the rate limit permits by now. */
     private void checkQueue() {
         isQueueCheckScheduled = false;
         for (Run run : scheduler.removeExpired(loop.nowMs())) {
             run.finish(fail(Execution.NOT_RUN, "overloaded"));
         }
+        startNext();
         scheduleQueueCheck();
     }
 
@@ -295,7 +302,7 @@
                     headers,
                     response.body(),
                     slotTimesMs,
-                    getLimit(),
+                    getUsableLimit(),
                     countInFlight(),
                     getFailureRatio()));
         }
--- a/mesh/src/main/java/io/cranberryarch/mesh/MeshNode.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/MeshNode.java
@@ -138,6 +138,7 @@
                 gate,
                 new CompactHeaders(names),
                 upstream,
+                rateLimit,
                 rules,
                 log,
                 quotas,
@@ -180,6 +181,7 @@
         metrics.gauge("gate_busy", gate::countInFlight);
         metrics.gauge("gate_waiting", gate::countWaiting);
         metrics.gauge("gate_limit", gate::getLimit);
+        metrics.gauge("gate_limit_usable", gate::getUsableLimit);
         metrics.gauge(
                 "gate_rate_limit", () -> rateLimit.getLimit().getRatePerS().orElse(Double.NaN));
         metrics.gauge("upstream_answer_bytes_held", responseBytes::getHeldBytes);
--- a/mesh/src/main/java/io/cranberryarch/mesh/Peer.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/Peer.java
@@ -14,8 +14,8 @@
     private PeerInfo info;
     private InstanceLoad load = new InstanceLoad();
     private Optional<PeerLink> link = Optional.empty();
-    private String instance = "";
-    private String service = "";
+    private PeerStatusMessage.Upstream upstream =
+            new PeerStatusMessage.Upstream("", UpstreamIncarnation.UNKNOWN_START_MS, "", false, Optional.empty());
     private boolean isAccepting;
     private long rulesVersion = -1;
     private final Map<String, Double> workDemand = new HashMap<>();
@@ -35,17 +35,15 @@
 
     /** Applies a status and returns whether the upstream changed. */
     boolean onStatus(PeerStatusMessage status, long nowMs) {
-        String newInstance =
-                status.upstream().map(PeerStatusMessage.Upstream::instance).orElse(instance);
-        String newService =
-                status.upstream().map(PeerStatusMessage.Upstream::service).orElse(service);
-        boolean isChanged =
-                !instance.equals(newInstance) || !service.equals(newService) || isAccepting != status.isAccepting();
-        if (!instance.equals(newInstance)) {
+        PeerStatusMessage.Upstream reported = status.upstream().orElse(upstream);
+        boolean isSameInstance = upstream.instance().equals(reported.instance());
+        boolean isChanged = !isSameInstance
+                || !upstream.service().equals(reported.service())
+                || isAccepting != status.isAccepting();
+        if (!isSameInstance) {
             load = new InstanceLoad();
         }
-        instance = newInstance;
-        service = newService;
+        upstream = merge(reported);
         isAccepting = status.isAccepting();
         rulesVersion = Math.max(rulesVersion, status.rulesVersion());
         load.onReport(status.limit(), status.inFlight(), status.upstreamFailureRatio());
@@ -57,6 +55,29 @@
         return isChanged;
     }
 
+    /** Keeps what an earlier process of the node reported of the same incarnation and the current one may not know. */
+    private PeerStatusMessage.Upstream merge(PeerStatusMessage.Upstream reported) {
+        if (!toIncarnation(reported).matches(toIncarnation(upstream))) {
+            return reported;
+        }
+        return new PeerStatusMessage.Upstream(
+                reported.instance(),
+                Math.max(reported.startedAtMs(), upstream.startedAtMs()),
+                reported.service(),
+                reported.isLeaving() || upstream.isLeaving(),
+                reported.ratePerS().or(upstream::ratePerS));
+    }
+
+    private static UpstreamIncarnation toIncarnation(PeerStatusMessage.Upstream reported) {
+        return new UpstreamIncarnation(reported.instance(), reported.startedAtMs());
+    }
+
+    /** Returns the upstream if its node must not send it requests, or only at a limited rate. */
+    Optional<PeerStatusMessage.Upstream> findBindingUpstream() {
+        boolean isRateLimited = upstream.ratePerS().filter(Double::isFinite).isPresent();
+        return upstream.isLeaving() || isRateLimited ? Optional.of(upstream) : Optional.empty();
+    }
+
     PeerInfo getInfo() {
         return info;
     }
@@ -78,11 +99,11 @@
     }
 
     String getInstance() {
-        return instance;
+        return upstream.instance();
     }
 
     String getService() {
-        return service;
+        return upstream.service();
     }
 
     long getRulesVersion() {
--- a/mesh/src/main/java/io/cranberryarch/mesh/PeerDirectory.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/PeerDirectory.java
@@ -138,7 +138,7 @@
 
     /** Updates the load of the local upstream, which changes with each request. */
     void refreshLocalLoad() {
-        localPeer.getLoad().onReport(gate.getLimit(), gate.countInFlight(), gate.getFailureRatio());
+        localPeer.getLoad().onReport(gate.getUsableLimit(), gate.countInFlight(), gate.getFailureRatio());
         localPeer.getLoad().setColdStartEndMs(loop.nowMs() + upstream.getRemainingColdStartMs());
     }
 
--- a/mesh/src/main/java/io/cranberryarch/mesh/PeerService.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/PeerService.java
@@ -6,6 +6,7 @@
 import io.cranberryarch.net.TcpListener;
 import io.cranberryarch.settings.IniFile;
 import io.cranberryarch.wire.AccountUsage;
+import io.cranberryarch.wire.KnownUpstreamMessage;
 import io.cranberryarch.wire.Message;
 import io.cranberryarch.wire.PeerHelloMessage;
 import io.cranberryarch.wire.PeerStatusMessage;
@@ -65,6 +66,7 @@
     private final Gate gate;
     private final CompactHeaders compactHeaders;
     private final UpstreamState upstream;
+    private final RateLimitTracker rateLimit;
     private final RulesService rules;
     private final EventLog log;
     private final QuotaService quotas;
@@ -73,7 +75,8 @@
     private final Set<PeerInfo> ignoredPeers = new HashSet<>();
     private TcpListener listener;
     private PeerInfo self;
-    private PeerStatusMessage.Upstream announcedUpstream = new PeerStatusMessage.Upstream("", "");
+    private PeerStatusMessage.Upstream announcedUpstream =
+            new PeerStatusMessage.Upstream("", 0, "", false, Optional.empty());
     private long upstreamChangedAtMs;
     private long lastStatusAtMs;
     private long lastPeersRequestAtMs = Long.MIN_VALUE;
@@ -87,6 +90,7 @@
             Gate gate,
             CompactHeaders compactHeaders,
             UpstreamState upstream,
+            RateLimitTracker rateLimit,
             RulesService rules,
             EventLog log,
             QuotaService quotas,
@@ -98,6 +102,7 @@
         this.gate = gate;
         this.compactHeaders = compactHeaders;
         this.upstream = upstream;
+        this.rateLimit = rateLimit;
         this.rules = rules;
         this.log = log;
         this.quotas = quotas;
@@ -116,6 +121,8 @@
             peers.invalidateCandidates();
             broadcastStatus();
         });
+        // Nodes that pass on a response which names a limit must know of it before the response.
+        rateLimit.addListener(this::broadcastStatus);
         loop.scheduleWithFixedDelay(CHECK_INTERVAL_MS, this::check);
     }
 
@@ -177,6 +184,7 @@
             case RULES_REQUEST -> rules.getDocument().ifPresent(document -> link.send(new RulesMessage(document)));
             case PEERS_REQUEST -> sendPeers(link);
             case PEERS -> onPeers((PeersMessage) message);
+            case KNOWN_UPSTREAM -> onKnownUpstream(((KnownUpstreamMessage) message).upstream());
             case RULES -> rules.onDocument(((RulesMessage) message).document(), "peer");
             default -> Logger.warn("event=peer-message-ignored type={}", message.getType());
         }
@@ -243,6 +251,8 @@
             sendHello(link);
         }
         link.send(toCompleteStatus());
+        // Precedes all requests on the connection, so that a restarted node knows it before it sends them on.
+        peer.findBindingUpstream().ifPresent(known -> link.send(new KnownUpstreamMessage(known)));
         peer.setDialing(false);
         peer.setBackoffMs(0);
         Optional<PeerLink> previous = peer.getLink().filter(current -> current != link);
@@ -310,6 +320,12 @@
         rules.onPeerVersion(peer, status.rulesVersion());
     }
 
+    /** Applies what a peer knows of this node's upstream from an earlier process of this node. */
+    private void onKnownUpstream(PeerStatusMessage.Upstream known) {
+        UpstreamIncarnation incarnation = new UpstreamIncarnation(known.instance(), known.startedAtMs());
+        known.ratePerS().filter(Double::isFinite).ifPresent(ratePerS -> rateLimit.restore(incarnation, ratePerS));
+    }
+
     private PeerStatusMessage toCompleteStatus() {
         return toStatus(Optional.of(toUpstream()), workDemand.getReported(), true, quotas.getUsage());
     }
@@ -330,7 +346,12 @@
     }
 
     private PeerStatusMessage.Upstream toUpstream() {
-        return new PeerStatusMessage.Upstream(upstream.getInstance(), upstream.getService());
+        return new PeerStatusMessage.Upstream(
+                upstream.getInstance(),
+                upstream.getIncarnation().startedAtMs(),
+                upstream.getService(),
+                upstream.isUpstreamLeaving(),
+                rateLimit.getReportedRatePerS());
     }
 
     private PeerStatusMessage toStatus(
@@ -342,7 +363,7 @@
                 announced,
                 upstream.isAccepting(),
                 upstream.isPermanentShutdown(),
-                upstream.isKnown() ? gate.getLimit() : 1,
+                upstream.isKnown() ? gate.getUsableLimit() : 1,
                 gate.countInFlight(),
                 gate.getFailureRatio(),
                 upstream.getRemainingColdStartMs(),
--- a/wire/src/main/java/io/cranberryarch/wire/ForwardAnswerMessage.java
+++ b/wire/src/main/java/io/cranberryarch/wire/ForwardAnswerMessage.java
@@ -23,7 +23,7 @@
                 FieldCodec.readHeaders(in),
                 FieldCodec.readBytes(in),
                 FieldCodec.readAmounts(in),
-                in.unpackInt(),
+                in.unpackFloat(),
                 in.unpackInt(),
                 in.unpackFloat()));
     }
@@ -41,7 +41,7 @@
         FieldCodec.writeHeaders(out, answer.headers());
         FieldCodec.writeBytes(out, answer.body());
         FieldCodec.writeAmounts(out, answer.slotTimesMs());
-        out.packInt(answer.limit());
+        out.packFloat((float) answer.limit());
         out.packInt(answer.inFlight());
         out.packFloat((float) answer.upstreamFailureRatio());
     }
--- a/wire/src/main/java/io/cranberryarch/wire/MessageType.java
+++ b/wire/src/main/java/io/cranberryarch/wire/MessageType.java
@@ -53,7 +53,9 @@
     /** Requests the nodes to which the receiver is connected. */
     PEERS_REQUEST(56, PeersRequestMessage::read),
     /** Lists the nodes to which the sender is connected. */
-    PEERS(57, PeersMessage::read);
+    PEERS(57, PeersMessage::read),
+    /** Tells a node what the sender knows of the node's upstream. */
+    KNOWN_UPSTREAM(58, KnownUpstreamMessage::read);
 
     private static final MessageType[] BY_CODE = new MessageType[64];
 
--- a/wire/src/main/java/io/cranberryarch/wire/PeerStatusMessage.java
+++ b/wire/src/main/java/io/cranberryarch/wire/PeerStatusMessage.java
@@ -14,7 +14,7 @@
  * @param upstream the upstream, or empty if it is the same as in the last report that named one
  * @param isAccepting whether the upstream accepts new requests
  * @param isPermanentShutdown whether the node and its upstream are shutting down permanently
- * @param limit the maximum number of requests that the upstream runs concurrently
+ * @param limit the number of requests that the upstream runs concurrently at full load
  * @param inFlight the number of requests that run or wait at the upstream
  * @param upstreamFailureRatio the ratio of requests that fail at the upstream itself, from 0 to 1
  * @param remainingColdStartMs the remaining time of the cold start, during which the upstream is slow, in milliseconds
@@ -27,7 +27,7 @@
         Optional<Upstream> upstream,
         boolean isAccepting,
         boolean isPermanentShutdown,
-        int limit,
+        double limit,
         int inFlight,
         double upstreamFailureRatio,
         long remainingColdStartMs,
@@ -42,7 +42,7 @@
                 in.tryUnpackNil() ? Optional.empty() : Optional.of(Upstream.read(in)),
                 in.unpackBoolean(),
                 in.unpackBoolean(),
-                in.unpackInt(),
+                in.unpackFloat(),
                 in.unpackInt(),
                 in.unpackFloat(),
                 in.unpackLong(),
@@ -60,14 +60,13 @@
     @Override
     public void write(MessagePacker out) throws IOException {
         if (upstream.isPresent()) {
-            out.packString(upstream.get().instance());
-            out.packString(upstream.get().service());
+            upstream.get().write(out);
         } else {
             out.packNil();
         }
         out.packBoolean(isAccepting);
         out.packBoolean(isPermanentShutdown);
-        out.packInt(limit);
+        out.packFloat((float) limit);
         out.packInt(inFlight);
         out.packFloat((float) upstreamFailureRatio);
         out.packLong(remainingColdStartMs);
@@ -94,12 +93,37 @@
      * The upstream on a node's machine.
      *
      * @param instance the identifier of its incarnation, empty if the node has received none
+     * @param startedAtMs the start of its incarnation, in milliseconds since 1970, 0 if unknown
      * @param service the name of its service
+     * @param isLeaving whether it has announced that it leaves
+     * @param ratePerS the rate limit that it has named, in requests a second, {@link #NO_RATE_LIMIT} if it names none,
+     *     or empty if it has not responded to the node yet
      */
-    public record Upstream(String instance, String service) {
+    public record Upstream(
+            String instance, long startedAtMs, String service, boolean isLeaving, Optional<Double> ratePerS) {
+
+        /** The rate limit of an upstream that names none. */
+        public static final double NO_RATE_LIMIT = Double.POSITIVE_INFINITY;
 
         static Upstream read(MessageUnpacker in) throws IOException {
-            return new Upstream(in.unpackString(), in.unpackString());
+            return new Upstream(
+                    in.unpackString(),
+                    in.unpackLong(),
+                    in.unpackString(),
+                    in.unpackBoolean(),
+                    in.tryUnpackNil() ? Optional.empty() : Optional.of(in.unpackDouble()));
+        }
+
+        void write(MessagePacker out) throws IOException {
+            out.packString(instance);
+            out.packLong(startedAtMs);
+            out.packString(service);
+            out.packBoolean(isLeaving);
+            if (ratePerS.isPresent()) {
+                out.packDouble(ratePerS.get());
+            } else {
+                out.packNil();
+            }
         }
     }
 }
