Send an upstream that states in a response that it leaves no more requests

Cause: no line read the header; a leave was known from reports alone. Fix: a response of the upstream is a further source of the same fact. The gate applies it to the incarnation that the request was sent to, refuses what is not sent yet, and has it recorded in the store like an announced leave; the next incarnation ends it. Nodes that have passed it on tell a new process of the node, before any request, so that a kill before the record is covered as well.

--- a/mesh/src/main/java/io/cranberryarch/mesh/Gate.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/Gate.java
@@ -310,6 +310,11 @@
         /** Applies what the upstream states about itself in any response. */
         private void applyStateOfUpstream(HttpResponseMessage response) {
             rateLimit.onResponse(incarnation, startedAtMs, response.findHeader(names.rateLimit()));
+            if (response.findHeader(names.leaving())
+                    .filter(HeaderNames.LEAVING::equals)
+                    .isPresent()) {
+                upstream.onLeavingResponse(incarnation);
+            }
         }
 
         private void onRefused(int status) {
--- a/mesh/src/main/java/io/cranberryarch/mesh/MeshNode.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/MeshNode.java
@@ -138,6 +138,7 @@
                 gate,
                 new CompactHeaders(names),
                 upstream,
+                reports,
                 rateLimit,
                 rules,
                 log,
--- a/mesh/src/main/java/io/cranberryarch/mesh/PeerService.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/PeerService.java
@@ -66,6 +66,7 @@
     private final Gate gate;
     private final CompactHeaders compactHeaders;
     private final UpstreamState upstream;
+    private final UpstreamReportService reports;
     private final RateLimitTracker rateLimit;
     private final RulesService rules;
     private final EventLog log;
@@ -90,6 +91,7 @@
             Gate gate,
             CompactHeaders compactHeaders,
             UpstreamState upstream,
+            UpstreamReportService reports,
             RateLimitTracker rateLimit,
             RulesService rules,
             EventLog log,
@@ -102,6 +104,7 @@
         this.gate = gate;
         this.compactHeaders = compactHeaders;
         this.upstream = upstream;
+        this.reports = reports;
         this.rateLimit = rateLimit;
         this.rules = rules;
         this.log = log;
@@ -323,6 +326,9 @@
     /** Applies what a peer knows of this node's upstream from an earlier process of this node. */
     private void onKnownUpstream(PeerStatusMessage.Upstream known) {
         UpstreamIncarnation incarnation = new UpstreamIncarnation(known.instance(), known.startedAtMs());
+        if (known.isLeaving()) {
+            reports.restoreLeave(incarnation);
+        }
         known.ratePerS().filter(Double::isFinite).ifPresent(ratePerS -> rateLimit.restore(incarnation, ratePerS));
     }
 
--- a/mesh/src/main/java/io/cranberryarch/mesh/UpstreamReportService.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/UpstreamReportService.java
@@ -48,6 +48,7 @@
         this.upstream = upstream;
         this.store = store;
         this.log = log;
+        upstream.addListener(this::record);
     }
 
     /**
@@ -77,6 +78,12 @@
         acknowledgeOnceRecorded(instance, acknowledge);
     }
 
+    /** Applies a leave that another node knows from an earlier process of this node. */
+    void restoreLeave(UpstreamIncarnation left) {
+        upstream.restoreLeaves(List.of(left));
+        record();
+    }
+
     /**
      * Reads the leaves that earlier processes of the node have acknowledged, and tries again until the store responds.
      *
--- a/mesh/src/main/java/io/cranberryarch/mesh/UpstreamState.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/UpstreamState.java
@@ -137,6 +137,11 @@
         return isCurrent;
     }
 
+    /** Applies a response in which an incarnation states that it leaves. */
+    void onLeavingResponse(UpstreamIncarnation responding) {
+        applyLeave(responding.instance(), responding.startedAtMs(), "response");
+    }
+
     /** Applies the leaves that an earlier process of the node has acknowledged. */
     void restoreLeaves(List<UpstreamIncarnation> leaves) {
         leaves.forEach(leave -> addLeave(leave.instance(), leave.startedAtMs()));
--- a/mesh/src/test/java/io/cranberryarch/mesh/TestHeaderNames.java
+++ b/mesh/src/test/java/io/cranberryarch/mesh/TestHeaderNames.java
@@ -13,6 +13,7 @@
             "Test-Stamp",
             "Test-Not-Executed",
             "Test-Rate-Limit",
+            "Test-Leaving",
             ".");
 
     private TestHeaderNames() {}
