Failing tests: a store that returns from an older copy

What is lost with the return of the store and not written again: the row of a node in the list (nodes that start later do not find it), the record of an acknowledged leave (the next process of the node uses the upstream again), counts of the report.

--- a/mesh/src/test/java/io/cranberryarch/mesh/CountsServiceTest.java
+++ b/mesh/src/test/java/io/cranberryarch/mesh/CountsServiceTest.java
@@ -85,6 +85,24 @@
         assertEquals(1, countWaiting());
     }
 
+    /** Guards against counts that are missing from the report, as the store has returned from an older copy. */
+    @Test
+    void writesAcknowledgedCountsAgainOnceTheStoreIsRestored() throws Exception {
+        loop.execute(() -> {
+            counts.record("ana", "order", Outcome.OK);
+            counts.write();
+        });
+        TestFleet.await(() -> count("ana", Outcome.OK) == 1);
+        store.restore();
+        TestFleet.await(() -> count("ana", Outcome.OK) == 1);
+        loop.execute(() -> {
+            counts.record("ana", "order", Outcome.OK);
+            counts.finish();
+        });
+        TestFleet.await(() -> sum().sources().stream().anyMatch(CountsBody.Source::isFinished));
+        assertEquals(2, count("ana", Outcome.OK));
+    }
+
     @Test
     void countsCallerRequestsOnceWithoutNestedCalls() throws Exception {
         try (TestFleet fleet = new TestFleet()) {
--- a/mesh/src/test/java/io/cranberryarch/mesh/FakeStore.java
+++ b/mesh/src/test/java/io/cranberryarch/mesh/FakeStore.java
@@ -34,10 +34,25 @@
         waiting.forEach(wait -> wait.isSilent = true);
     }
 
+    /** Loses all that the nodes have written so far, as if the store had returned from an older copy. */
+    synchronized void restore() {
+        peers.clear();
+        objects.clear();
+        leaves.clear();
+    }
+
     synchronized void addPeer(PeerInfo peer) {
         peers.put(peer.node(), peer);
     }
 
+    synchronized boolean hasPeer(String node) {
+        return peers.containsKey(node);
+    }
+
+    synchronized List<UpstreamIncarnation> getLeaves(String node) {
+        return leaves.getOrDefault(node, List.of());
+    }
+
     synchronized Map<String, byte[]> getObjects() {
         return new LinkedHashMap<>(objects);
     }
--- a/mesh/src/test/java/io/cranberryarch/mesh/TestFleet.java
+++ b/mesh/src/test/java/io/cranberryarch/mesh/TestFleet.java
@@ -106,6 +106,11 @@
         return store.getObjects();
     }
 
+    /** Returns the store that the nodes share. */
+    FakeStore getStore() {
+        return store;
+    }
+
     /** Returns the lines that all nodes have logged so far. */
     List<String> getLines() {
         return lines;
