Write again what a store that returned from an older copy has lost

Also: counts that the store had acknowledged were missing from the report, and a poll from a revision that was given out again missed the changes before it. Cause: a write counted as kept for good once it was acknowledged, and a revision as valid for good. The header Store-Era, which tells of a return, was not read. Ruled out: conditional writes (none are made), older rules in force (an older version never replaces a newer one), shares of rates (not kept in the store). Log: event=store-restored. ProcessFaultTest.acknowledgedLeaveOutlastsAReturnOfTheStoreFromACopy, with a kill before the record is written again, passes through what other nodes tell the new process.

--- a/app/src/main/java/io/cranberryarch/app/ArchiveTraining.java
+++ b/app/src/main/java/io/cranberryarch/app/ArchiveTraining.java
@@ -257,6 +257,11 @@
             this.loop = loop;
         }
 
+        @Override
+        public void addRestoreListener(Runnable listener) {
+            // The store never returns from a copy.
+        }
+
         @Override
         public void readDocument(Callback<Optional<byte[]>> callback) {
             complete(callback, Optional.of(DOCUMENT));
--- a/app/src/test/java/io/cranberryarch/app/soak/ProcessFaultTest.java
+++ b/app/src/test/java/io/cranberryarch/app/soak/ProcessFaultTest.java
@@ -45,17 +45,25 @@
             awaitServed(node);
             awaitServed(other);
             assertEquals(200, node.getUpstream().leave());
-            long leftAtMs = System.currentTimeMillis();
-            node.restartAfter(node.signal("KILL"));
-            await(node::isReady);
-            await(() -> System.currentTimeMillis() - leftAtMs > BOUND_MS);
-            Set<String> expected = new HashSet<>(node.getUpstream().getLocalRuns());
+            assertGetsNoRequestsAfterAKill(node, other);
+        }
+    }
+
+    /**
+     * Guards against requests at an upstream whose leave was acknowledged: the store returns from a copy without the
+     * record of the leave, and the node is killed before it has written the record again.
+     */
+    @Test
+    void acknowledgedLeaveOutlastsAReturnOfTheStoreFromACopy() throws Exception {
+        try (SoakFleet fleet = new SoakFleet(folder, 2)) {
+            SoakFleet.SoakNode node = fleet.getNodes().get(0);
+            SoakFleet.SoakNode other = fleet.getNodes().get(1);
             awaitServed(node);
-            for (int i = 0; i < REQUEST_COUNT; i++) {
-                send(node, "late-" + i, "/read/late-" + i, SoakFleet.KEY).join();
-                send(other, "other-" + i, "/read/other-" + i, SoakFleet.KEY).join();
-            }
-            assertEquals(expected, node.getUpstream().getLocalRuns());
+            awaitServed(other);
+            fleet.getStore().takeCopy();
+            assertEquals(200, node.getUpstream().leave());
+            fleet.getStore().returnFromCopy();
+            assertGetsNoRequestsAfterAKill(node, other);
         }
     }
 
@@ -113,6 +121,21 @@
         }
     }
 
+    /** Kills the node of an upstream that has left, and checks that the upstream gets no requests after the bound. */
+    private void assertGetsNoRequestsAfterAKill(SoakFleet.SoakNode node, SoakFleet.SoakNode other) throws Exception {
+        long leftAtMs = System.currentTimeMillis();
+        node.restartAfter(node.signal("KILL"));
+        await(node::isReady);
+        await(() -> System.currentTimeMillis() - leftAtMs > BOUND_MS);
+        Set<String> expected = new HashSet<>(node.getUpstream().getLocalRuns());
+        awaitServed(node);
+        for (int i = 0; i < REQUEST_COUNT; i++) {
+            send(node, "late-" + i, "/read/late-" + i, SoakFleet.KEY).join();
+            send(other, "other-" + i, "/read/other-" + i, SoakFleet.KEY).join();
+        }
+        assertEquals(expected, node.getUpstream().getLocalRuns());
+    }
+
     private void awaitServed(SoakFleet.SoakNode node) throws Exception {
         await(() -> {
             String id = "probe-" + System.nanoTime();
--- a/app/src/test/java/io/cranberryarch/app/soak/SoakStore.java
+++ b/app/src/test/java/io/cranberryarch/app/soak/SoakStore.java
@@ -34,7 +34,10 @@
     private final HttpServer server;
     private final ExecutorService threads = Executors.newCachedThreadPool();
     private final TreeMap<String, ObjectNode> rows = new TreeMap<>();
+    private final TreeMap<String, ObjectNode> copiedRows = new TreeMap<>();
     private long version = 1;
+    private long copiedVersion;
+    private long era;
     private volatile Mode mode = Mode.UP;
 
     SoakStore() throws IOException {
@@ -61,6 +64,21 @@
         notifyAll();
     }
 
+    /** Takes a copy of all rows. */
+    synchronized void takeCopy() {
+        copiedRows.clear();
+        copiedRows.putAll(rows);
+        copiedVersion = version;
+    }
+
+    /** Returns from the copy: what was written since is lost, and versions are given out again. */
+    synchronized void returnFromCopy() {
+        rows.clear();
+        rows.putAll(copiedRows);
+        version = copiedVersion;
+        era++;
+    }
+
     @Override
     public void close() {
         server.stop(0);
@@ -90,6 +108,7 @@
         }
         body.put("schemaVer", readVersion());
         byte[] bytes = MAPPER.writeValueAsBytes(body);
+        exchange.getResponseHeaders().set("Store-Era", String.valueOf(readEra()));
         exchange.sendResponseHeaders(200, bytes.length);
         exchange.getResponseBody().write(bytes);
         exchange.close();
@@ -99,6 +118,10 @@
         return version;
     }
 
+    private synchronized long readEra() {
+        return era;
+    }
+
     private synchronized void awaitChange(ObjectNode body, Map<String, String> query) {
         long after = Long.parseLong(query.get("after"));
         long endMs = System.currentTimeMillis() + Long.parseLong(query.get("waitMs"));
--- a/counts/src/main/java/io/cranberryarch/counts/IncrementQueue.java
+++ b/counts/src/main/java/io/cranberryarch/counts/IncrementQueue.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -23,10 +24,14 @@
     /** The maximum number of increments in the queue. */
     public static final int MAX_QUEUED_INCREMENTS = 48;
 
+    /** The maximum number of acknowledged increments that are kept, to be written again if the store loses them. */
+    private static final int MAX_RETAINED_INCREMENTS = 4;
+
     private static final long NO_SEQUENCE = -1;
 
     private final CountsSource source;
     private final Deque<Entry> entries = new ArrayDeque<>();
+    private final Deque<Entry> retained = new ArrayDeque<>();
     private long nextSequence;
     private long lost;
 
@@ -64,7 +69,7 @@
      * @return the write, or empty if the store has acknowledged everything
      */
     public Optional<Write> next() {
-        entries.removeIf(entry -> entry.isClosed && !entry.isChanged);
+        retainAcknowledged();
         for (Entry entry : entries) {
             if (entry.isChanged) {
                 return Optional.of(toWrite(entry));
@@ -73,6 +78,18 @@
         return Optional.empty();
     }
 
+    /** Queues the last acknowledged increments again, unchanged, as the store may have lost them. */
+    public void repeatAcknowledged() {
+        for (Entry entry : entries) {
+            entry.isChanged |= entry.sequence != NO_SEQUENCE;
+        }
+        while (!retained.isEmpty()) {
+            Entry last = retained.removeLast();
+            last.isChanged = true;
+            entries.addFirst(last);
+        }
+    }
+
     /**
      * Records the outcome of a write. Must be called before anything else is added.
      *
@@ -111,6 +128,21 @@
         return entries.size();
     }
 
+    /** Removes the closed increments that were acknowledged from the queue, and keeps the last ones of them. */
+    private void retainAcknowledged() {
+        Iterator<Entry> iterator = entries.iterator();
+        while (iterator.hasNext()) {
+            Entry entry = iterator.next();
+            if (entry.isClosed && !entry.isChanged) {
+                iterator.remove();
+                retained.addLast(entry);
+            }
+        }
+        while (retained.size() > MAX_RETAINED_INCREMENTS) {
+            retained.removeFirst();
+        }
+    }
+
     private Write toWrite(Entry entry) {
         if (entry.sequence == NO_SEQUENCE) {
             entry.sequence = nextSequence++;
--- a/mesh/src/main/java/io/cranberryarch/mesh/CountsService.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/CountsService.java
@@ -23,6 +23,9 @@
     /** Maximum number of writes per interval, so that the fleet does not overload the store after an outage. */
     private static final int MAX_WRITES_PER_INTERVAL = 3;
 
+    /** Maximum delay of the repeated write once the store has returned from an older copy. */
+    private static final long MAX_REPEAT_DELAY_MS = 5_000;
+
     /** Maximum number of series between two writes; further series are counted as "other". */
     private static final int MAX_SERIES = 2_000;
 
@@ -44,6 +47,7 @@
         this.store = store;
         this.log = log;
         this.queue = new IncrementQueue(source);
+        store.addRestoreListener(this::writeAgain);
     }
 
     /** Starts periodic writes. The random delay spreads the writes of nodes that start together. */
@@ -117,6 +121,15 @@
         }
     }
 
+    /** Writes the increments that the store has acknowledged again, as they may be lost. */
+    private void writeAgain() {
+        // Nodes notice a return at about the same time.
+        loop.schedule(ThreadLocalRandom.current().nextLong(MAX_REPEAT_DELAY_MS), () -> {
+            queue.repeatAcknowledged();
+            write();
+        });
+    }
+
     private void enqueueCounts() {
         queue.add(counts, loop.wallMs());
         counts = new HashMap<>();
--- a/mesh/src/main/java/io/cranberryarch/mesh/MeshNode.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/MeshNode.java
@@ -68,6 +68,9 @@
     private static final long INITIAL_STORE_RETRY_DELAY_MS = 200;
     private static final long MAX_STORE_RETRY_DELAY_MS = 2_000;
 
+    /** Maximum delay of the repeated registration once the store has returned from an older copy. */
+    private static final long MAX_REPEATED_REGISTRATION_DELAY_MS = 1_000;
+
     private final EventLoop loop;
     private final SharedStore store;
     private final EventLog log;
@@ -92,6 +95,7 @@
     private HttpServer readinessServer;
     private HttpServer metricsServer;
     private boolean isStopping;
+    private boolean isDeregistered;
     private long storeRetryDelayMs;
 
     /**
@@ -161,14 +165,19 @@
                 metrics,
                 counts,
                 log);
+        addListeners();
+        addGauges();
+    }
+
+    private void addListeners() {
+        store.addRestoreListener(this::onStoreRestored);
         rules.addListener(() -> rules.getRules().ifPresent(quotas::onRules));
         rules.addListener(peerService::broadcastStatus);
         rules.addListener(this::probeUpstream);
         loop.scheduleWithFixedDelay(StallDetector.CHECK_INTERVAL_MS, () -> {
             stallRecovery.check();
-            upstream.checkReports(this.settings.reportIntervalMs());
+            upstream.checkReports(settings.reportIntervalMs());
         });
-        addGauges();
     }
 
     private void addGauges() {
@@ -284,6 +293,7 @@
         } else {
             upstream.onNodeStopping();
             // The machine is removed together with its upstream; a node that only restarts stays registered.
+            isDeregistered = true;
             store.deregister(
                     settings.node(),
                     SharedStore.Callback.of(
@@ -378,6 +388,18 @@
                 SharedStore.Callback.of(done -> readPeers(), failure -> retryStore(this::register)));
     }
 
+    /** Registers again, as the registration may be lost, unless the node was removed with its upstream. */
+    private void onStoreRestored() {
+        log.info("event=store-restored version-in-force=" + rules.getVersion() + " leaves="
+                + upstream.getLeaves().size());
+        // Nodes notice a return at about the same time.
+        loop.schedule(Math.round(Math.random() * MAX_REPEATED_REGISTRATION_DELAY_MS), () -> {
+            if (!isDeregistered) {
+                register();
+            }
+        });
+    }
+
     private void readPeers() {
         store.readPeers(SharedStore.Callback.of(
                 found -> {
--- a/mesh/src/main/java/io/cranberryarch/mesh/RulesService.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/RulesService.java
@@ -46,6 +46,7 @@
         this.log = log;
         this.lastStoreResponseAtMs = loop.nowMs();
         this.rulesChangedAtMs = loop.nowMs();
+        store.addRestoreListener(this::onStoreRestored);
     }
 
     void addListener(Runnable listener) {
@@ -120,6 +121,15 @@
         }
     }
 
+    /** Reads the document again if a poll is in progress, as the revision that it waits for may be given out again. */
+    private void onStoreRestored() {
+        if (poll.isPresent()) {
+            poll.get().cancel().run();
+            poll = Optional.empty();
+            read();
+        }
+    }
+
     /** Applies a document from the store or from a peer if it is newer than the one in force. */
     void onDocument(byte[] bytes, String source) {
         ServingRules read;
--- a/mesh/src/main/java/io/cranberryarch/mesh/SharedStore.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/SharedStore.java
@@ -11,6 +11,14 @@
  */
 public interface SharedStore {
 
+    /**
+     * Adds a listener that is run once the store has returned from an older copy. What was written since the copy is
+     * lost, even if it was acknowledged, and revisions from before the return are void.
+     *
+     * @param listener the listener
+     */
+    void addRestoreListener(Runnable listener);
+
     /**
      * Reads the operators' document.
      *
--- a/mesh/src/main/java/io/cranberryarch/mesh/UpstreamReportService.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/UpstreamReportService.java
@@ -49,6 +49,7 @@
         this.store = store;
         this.log = log;
         upstream.addListener(this::record);
+        store.addRestoreListener(this::recordAgain);
     }
 
     /**
@@ -155,6 +156,12 @@
                         }));
     }
 
+    /** Records the leaves again, as the record may be lost. */
+    private void recordAgain() {
+        recordedRevision = 0;
+        record();
+    }
+
     private void acknowledgeRecorded() {
         for (PendingAcknowledgement recorded : new ArrayList<>(pending)) {
             if (recorded.revision() <= recordedRevision) {
--- a/mesh/src/test/java/io/cranberryarch/mesh/FakeStore.java
+++ b/mesh/src/test/java/io/cranberryarch/mesh/FakeStore.java
@@ -16,6 +16,7 @@
     private final Map<String, byte[]> objects = new LinkedHashMap<>();
     private final Map<String, List<UpstreamIncarnation>> leaves = new LinkedHashMap<>();
     private final List<Wait> waiting = new ArrayList<>();
+    private final List<Runnable> restoreListeners = new ArrayList<>();
     private byte[] document;
     private long revision = 1;
 
@@ -39,6 +40,7 @@
         peers.clear();
         objects.clear();
         leaves.clear();
+        restoreListeners.forEach(Runnable::run);
     }
 
     synchronized void addPeer(PeerInfo peer) {
@@ -88,6 +90,13 @@
             areLeavesUnavailable = unavailable;
         }
 
+        @Override
+        public void addRestoreListener(Runnable listener) {
+            synchronized (FakeStore.this) {
+                restoreListeners.add(() -> loop.execute(listener));
+            }
+        }
+
         @Override
         public void readDocument(Callback<Optional<byte[]>> callback) {
             synchronized (FakeStore.this) {
