Put a lowered burst of a client account in force at once

Cause: a refill never lowers a bucket, since a bucket may exceed its depth after the node's share has shrunk; a change of the limit was treated like a change of the share. Fix: if the burst is lower than the one applied before, the local, the attempt and the fleet bucket are cut to their new depths.

--- a/decision/src/main/java/io/cranberryarch/decision/serving/AccountQuota.java
+++ b/decision/src/main/java/io/cranberryarch/decision/serving/AccountQuota.java
@@ -57,6 +57,7 @@
     private static final double MS_PER_S = 1_000;
 
     private final Map<String, PeerTokens> tokensByPeer = new HashMap<>();
+    private Limit appliedLimit = new Limit(0, 0, 0);
     private double tokens;
     private double attemptTokens;
     private double borrowable;
@@ -310,6 +311,14 @@
     private void refill(Limit limit, double share, long nowMs) {
         double depth = share * limit.burst();
         double attemptDepth = Math.max(1, MAX_ATTEMPTS_RATIO * depth);
+        if (limit.burst() < appliedLimit.burst()) {
+            // The buckets may exceed their depth after a change of the share, but not after a change of the limit.
+            tokens = Math.min(tokens, depth);
+            attemptTokens = Math.min(attemptTokens, attemptDepth);
+            fleetTokens = Math.min(fleetTokens, connectedRatio * limit.burst());
+            fleetTokensAtReport = Math.min(fleetTokensAtReport, fleetTokens);
+        }
+        appliedLimit = limit;
         double elapsedS = (nowMs - refilledAtMs) / MS_PER_S;
         refilledAtMs = nowMs;
         tokens = Math.max(tokens, Math.min(depth, tokens + share * limit.ratePerS() * elapsedS));
--- a/decision/src/test/java/io/cranberryarch/decision/serving/AccountQuotaTest.java
+++ b/decision/src/test/java/io/cranberryarch/decision/serving/AccountQuotaTest.java
@@ -90,6 +90,29 @@
                 fleet.countMaxAdmitted(WINDOW_MS) + " admitted, " + allowed + " allowed");
     }
 
+    /** Guards against a lowered burst or rate that is not in force, as the buckets still hold the tokens of before. */
+    @Property(tries = 60, seed = "18")
+    void loweredLimitIsInForceAtOnce(
+            @ForAll @IntRange(min = 1, max = 40) int nodes,
+            @ForAll @DoubleRange(min = 10, max = 100) double ratePerS,
+            @ForAll @DoubleRange(min = 1, max = 20) double formerBurstRatio,
+            @ForAll @DoubleRange(min = 1, max = 8) double formerRateRatio,
+            @ForAll @DoubleRange(min = 0, max = 1) double usualRatio,
+            @ForAll @DoubleRange(min = 1, max = 8) double hotRatio,
+            @ForAll long seed) {
+        AccountQuota.Limit lowered = toLimit(ratePerS);
+        AccountQuota.Limit former = new AccountQuota.Limit(
+                formerRateRatio * ratePerS, formerBurstRatio * formerRateRatio * ratePerS, lowered.slack());
+        QuotaFleet fleet = new QuotaFleet(former, nodes, REPORT_INTERVAL_MS, seed);
+        fleet.run(usualRatio * ratePerS, 8_000);
+        fleet.setLimit(lowered);
+        fleet.run(hotRatio * ratePerS, 8_000);
+        double allowed = ratePerS * WINDOW_MS / 1_000 + lowered.burst() + lowered.slack();
+        assertTrue(
+                fleet.countMaxAdmitted(WINDOW_MS) <= allowed,
+                fleet.countMaxAdmitted(WINDOW_MS) + " admitted, " + allowed + " allowed");
+    }
+
     /** Tests many nodes, each of which receives few requests of the account and reports them with a delay. */
     @Property(tries = 60, seed = "17")
     void hotAccountStaysWithinItsLimitInALargeFleet(
--- a/decision/src/test/java/io/cranberryarch/decision/serving/QuotaFleet.java
+++ b/decision/src/test/java/io/cranberryarch/decision/serving/QuotaFleet.java
@@ -14,7 +14,7 @@
     /** The initial time without requests, long enough to fill all buckets. */
     private static final long IDLE_MS = 20_000;
 
-    private final AccountQuota.Limit limit;
+    private AccountQuota.Limit limit;
     private final long reportIntervalMs;
     private final long earlyReportMs;
     private final Random random;
@@ -79,6 +79,12 @@
         }
     }
 
+    /** Changes the limit at all nodes, and forgets the requests that were admitted before. */
+    void setLimit(AccountQuota.Limit newLimit) {
+        limit = newLimit;
+        admittedAtMs.clear();
+    }
+
     /** Kills a fraction of the nodes, which restart immediately with no state except the number of nodes. */
     void restart(double fraction) {
         for (int i = 0; i < fraction * nodes.length; i++) {
