--- a/mesh/src/main/java/io/cranberryarch/mesh/Gate.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/Gate.java
@@ -283,9 +283,11 @@
                 end(fail(Execution.UNKNOWN, "answer-without-id"));
                 return;
             }
-            applyStateOfUpstream(response);
-            boolean isRefusal = response.findHeader(names.notExecuted()).isPresent();
-            if (isRefusal || response.status() == MISDIRECTED_REQUEST) {
+            boolean isFromOtherInstance = response.status() == MISDIRECTED_REQUEST;
+            if (!isFromOtherInstance) {
+                applyStateOfUpstream(response);
+            }
+            if (isFromOtherInstance || response.findHeader(names.notExecuted()).isPresent()) {
                 onRefused(response.status());
                 return;
             }
--- a/mesh/src/test/java/io/cranberryarch/mesh/LeavingUpstreamTest.java
+++ b/mesh/src/test/java/io/cranberryarch/mesh/LeavingUpstreamTest.java
@@ -56,6 +56,26 @@
         }
     }
 
+    /** Guards against a sound upstream out of use, as another one that answered at its address states that it leaves. */
+    @Test
+    void leaveStatedByAnotherInstanceIsNotThatOfTheUpstream() throws Exception {
+        try (TestFleet fleet = new TestFleet()) {
+            TestFleet.Member member = fleet.add("node-a", "zone-a");
+            fleet.publish(1);
+            fleet.start();
+            TestUpstream upstream = member.upstream();
+            upstream.setBehaviour(exchange ->
+                    upstream.respond(exchange, 421, "", new HeaderField(LEAVING_HEADER, HeaderNames.LEAVING)));
+            HttpResponse<String> refused = TestFleet.get(fleet.send(member, "GET", "/read/first", "key-of-ana"));
+            assertEquals(503, refused.statusCode());
+            upstream.setBehaviour(exchange -> upstream.respond(exchange, 200, "served"));
+            member.report(2, false);
+            TestFleet.await(() -> TestFleet.get(fleet.send(member, "GET", "/read/second", "key-of-ana"))
+                            .statusCode()
+                    == 200);
+        }
+    }
+
     private static void passOnLeave(TestFleet fleet, TestFleet.Member leaving, TestFleet.Member entry)
             throws Exception {
         TestUpstream upstream = leaving.upstream();
