Soak: upstreams that name rate limits or state that they leave, and a store that returns from a copy

Beside the faults of each seed, whose sequence stays as it was. Checked by what callers and upstreams see: a node that has passed on a limit (0.5 s before) or a leave (2 s before the caller sent the request) keeps to it, across restarts of the upstream's node.

--- a/app/src/test/java/io/cranberryarch/app/soak/FaultSoakTest.java
+++ b/app/src/test/java/io/cranberryarch/app/soak/FaultSoakTest.java
@@ -14,6 +14,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -26,7 +27,8 @@
 /**
  * A randomized soak test of nodes in separate processes, with overlapping faults of processes, connections, the store
  * and the upstreams. Each seed gives another sequence of faults. Guards against orders that run more than once,
- * requests that run despite an invalid key or a response that denies it, and incorrect responses.
+ * requests that run despite an invalid key or a response that denies it, incorrect responses, and requests at upstreams
+ * beyond what these have stated in responses.
  *
  * <p>To run it with other seeds and for longer: {@code mvn verify -pl app -am -Dtest=FaultSoakTest
  * -Dsurefire.failIfNoSpecifiedTests=false -Dsoak.first=100 -Dsoak.seeds=50 -Dsoak.seconds=20}.
@@ -63,6 +65,7 @@
         private final SoakFleet fleet;
         private final int seed;
         private final Random random;
+        private final Random statementRandom;
         private final Map<String, Outcome> outcomes = new ConcurrentHashMap<>();
         private final AtomicBoolean isFinished = new AtomicBoolean();
         private final AtomicInteger nextId = new AtomicInteger();
@@ -72,6 +75,8 @@
             this.fleet = fleet;
             this.seed = seed;
             this.random = new Random(seed);
+            // Separate, so that the sequence of the other faults stays that of the seed.
+            this.statementRandom = new Random(~seed);
         }
 
         void run() throws Exception {
@@ -84,6 +89,7 @@
             for (long endMs = System.currentTimeMillis() + (long) DURATION_S * MS_PER_S;
                     System.currentTimeMillis() < endMs; ) {
                 injectFault(fleet.getNodes().get(random.nextInt(NODE_COUNT)));
+                injectStatement(fleet.getNodes().get(statementRandom.nextInt(NODE_COUNT)));
                 Thread.sleep(100L + random.nextInt(900));
             }
             for (Thread thread : recoveryThreads) {
@@ -107,6 +113,7 @@
                 case 0 -> restart(node, "KILL", durationMs);
                 case 1 -> restart(node, "TERM", durationMs);
                 case 2 -> {
+                    excuse(node);
                     node.signal("STOP");
                     recoverAfter(durationMs, () -> node.signal("CONT"));
                 }
@@ -124,9 +131,45 @@
             }
         }
 
+        /** Lets the upstream of a node state something about itself, or the store return from a copy, at times. */
+        private void injectStatement(SoakFleet.SoakNode node) {
+            UpstreamStatements statements = node.getUpstream().getStatements();
+            long durationMs = 4_000L + statementRandom.nextInt(4_000);
+            switch (statementRandom.nextInt(8)) {
+                case 0 -> {
+                    statements.setRatePerS(Optional.of(0.5 + 5 * statementRandom.nextDouble()));
+                    recoverAfter(durationMs, () -> statements.setRatePerS(Optional.empty()));
+                }
+                case 1 -> {
+                    statements.leave();
+                    recoverAfter(durationMs, node.getUpstream()::replaceInstance);
+                }
+                case 2 -> {
+                    fleet.getStore().takeCopy();
+                    recoverAfter(durationMs / 4, () -> {
+                        fleet.getStore().returnFromCopy();
+                        Thread.sleep(durationMs / 8);
+                        fleet.getStore().republishRules();
+                    });
+                }
+                default -> {
+                    // Nothing beside the other faults.
+                }
+            }
+        }
+
+        /** Excuses a node whose process is stopped from what it has passed on. */
+        private void excuse(SoakFleet.SoakNode node) {
+            for (SoakFleet.SoakNode other : fleet.getNodes()) {
+                other.getUpstream().getStatements().onNodeDisturbed(node.getName());
+            }
+        }
+
         private void restart(SoakFleet.SoakNode node, String signal, long durationMs) throws Exception {
+            excuse(node);
             Process stopping = node.signal(signal);
             recoverAfter(durationMs, () -> {
+                excuse(node);
                 node.signal("CONT");
                 node.restartAfter(stopping);
             });
@@ -155,8 +198,8 @@
             while (!isFinished.get()) {
                 boolean isOrder = callerRandom.nextInt(10) < 6;
                 boolean isKeyWrong = callerRandom.nextInt(10) == 0;
-                String id = "s" + seed + "-" + nextId.incrementAndGet();
                 SoakFleet.SoakNode node = fleet.getNodes().get(callerRandom.nextInt(NODE_COUNT));
+                String id = UpstreamStatements.toRequestId("s" + seed + "-" + nextId.incrementAndGet(), node.getName());
                 Response response = send(client, node, id, isOrder, isKeyWrong ? "wrong" : SoakFleet.KEY);
                 outcomes.put(id, new Outcome(isOrder, isKeyWrong, response));
             }
@@ -173,6 +216,9 @@
             }
             try {
                 HttpResponse<String> httpResponse = client.send(request.build(), HttpResponse.BodyHandlers.ofString());
+                for (SoakFleet.SoakNode other : fleet.getNodes()) {
+                    other.getUpstream().onPassedOn(node.getName(), httpResponse.headers());
+                }
                 return new Response(httpResponse.statusCode(), httpResponse.body());
             } catch (IOException e) {
                 return new Response(0, String.valueOf(e.getMessage()));
--- a/app/src/test/java/io/cranberryarch/app/soak/SoakFleet.java
+++ b/app/src/test/java/io/cranberryarch/app/soak/SoakFleet.java
@@ -143,6 +143,10 @@
             this.storeProxy = new FaultProxy(store.getAddress());
         }
 
+        String getName() {
+            return name;
+        }
+
         SoakUpstream getUpstream() {
             return upstream;
         }
--- a/app/src/test/java/io/cranberryarch/app/soak/SoakStore.java
+++ b/app/src/test/java/io/cranberryarch/app/soak/SoakStore.java
@@ -37,6 +37,7 @@
     private final TreeMap<String, ObjectNode> copiedRows = new TreeMap<>();
     private long version = 1;
     private long copiedVersion;
+    private String publishedDocument = "";
     private long era;
     private volatile Mode mode = Mode.UP;
 
@@ -57,6 +58,7 @@
 
     /** Writes the operators' document. */
     synchronized void publishRules(String document) {
+        publishedDocument = document;
         byte[] bytes = document.getBytes(StandardCharsets.UTF_8);
         ObjectNode row = MAPPER.createObjectNode();
         row.put("table", "op").put("part", "").put("key", "config");
@@ -64,6 +66,11 @@
         notifyAll();
     }
 
+    /** Writes the operators' document again, as operators do once the store has returned from a copy. */
+    synchronized void republishRules() {
+        publishRules(publishedDocument);
+    }
+
     /** Takes a copy of all rows. */
     synchronized void takeCopy() {
         copiedRows.clear();
--- a/app/src/test/java/io/cranberryarch/app/soak/SoakUpstream.java
+++ b/app/src/test/java/io/cranberryarch/app/soak/SoakUpstream.java
@@ -6,6 +6,7 @@
 import java.net.InetSocketAddress;
 import java.net.URI;
 import java.net.http.HttpClient;
+import java.net.http.HttpHeaders;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
@@ -30,6 +31,7 @@
     private static final double REJECTED_RATIO = 0.05;
     private static final double NESTED_CALL_RATIO = 0.3;
     private static final String NESTED_ID_SUFFIX = ".1";
+    private static final String STAMP_HEADER = "X-Cranberryarch-Response-Stamp";
     private static final String TIMEOUT_HEADER = "X-Cranberryarch-Deadline-Ms";
     private static final Set<Integer> DENIED_STATUSES = Set.of(400, 401, 403, 404);
 
@@ -39,6 +41,7 @@
     private final Map<String, Integer> runs;
     private final Set<String> localRuns = ConcurrentHashMap.newKeySet();
     private final Set<String> violations;
+    private final UpstreamStatements statements;
     private final HttpServer server;
     private final ExecutorService threads = Executors.newCachedThreadPool();
     private final HttpClient client =
@@ -56,6 +59,7 @@
         this.entry = entry;
         this.runs = runs;
         this.violations = violations;
+        this.statements = new UpstreamStatements(name, violations);
         this.server = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 100);
         server.setExecutor(threads);
         server.createContext("/", this::handle);
@@ -72,6 +76,11 @@
         return localRuns;
     }
 
+    /** Returns what this upstream states about itself in its responses. */
+    UpstreamStatements getStatements() {
+        return statements;
+    }
+
     InetSocketAddress getAddress() {
         return server.getAddress();
     }
@@ -81,6 +90,7 @@
         incarnation++;
         startedAtMs = System.currentTimeMillis();
         sequence = 0;
+        statements.reset();
     }
 
     /**
@@ -106,6 +116,18 @@
         threads.shutdownNow();
     }
 
+    /** Records that a node has passed on a response of this upstream, unless it is of an earlier incarnation. */
+    void onPassedOn(String node, HttpHeaders headers) {
+        boolean isCurrent =
+                headers.firstValue(STAMP_HEADER).filter(toInstanceId()::equals).isPresent();
+        if (isCurrent) {
+            statements.onPassedOn(
+                    node,
+                    headers.firstValue(UpstreamStatements.LIMIT_HEADER).isPresent(),
+                    headers.firstValue(UpstreamStatements.LEAVING_HEADER).isPresent());
+        }
+    }
+
     private String toInstanceId() {
         return name + "-" + incarnation;
     }
@@ -123,6 +145,14 @@
             respond(exchange, 421, "");
             return;
         }
+        statements.onArrival(id);
+        statements
+                .getRatePerS()
+                .ifPresent(rate ->
+                        exchange.getResponseHeaders().set(UpstreamStatements.LIMIT_HEADER, String.valueOf(rate)));
+        if (statements.isLeaving()) {
+            exchange.getResponseHeaders().set(UpstreamStatements.LEAVING_HEADER, "1");
+        }
         if (ThreadLocalRandom.current().nextDouble() < REJECTED_RATIO) {
             exchange.getResponseHeaders().set("X-Cranberryarch-Not-Executed", "1");
             respond(exchange, 503, "");
@@ -139,7 +169,7 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
-        exchange.getResponseHeaders().set("X-Cranberryarch-Response-Stamp", instance);
+        exchange.getResponseHeaders().set(STAMP_HEADER, instance);
         respond(exchange, 200, "ran " + id);
     }
 
