--- a/mesh/src/main/java/io/cranberryarch/mesh/Peer.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/Peer.java
@@ -16,6 +16,7 @@
     private Optional<PeerLink> link = Optional.empty();
     private PeerStatusMessage.Upstream upstream =
             new PeerStatusMessage.Upstream("", UpstreamIncarnation.UNKNOWN_START_MS, "", false, Optional.empty());
+    private PeerStatusMessage.Upstream knownUpstream = upstream;
     private boolean isAccepting;
     private long rulesVersion = -1;
     private final Map<String, Double> workDemand = new HashMap<>();
@@ -43,7 +44,10 @@
         if (!isSameInstance) {
             load = new InstanceLoad();
         }
-        upstream = merge(reported);
+        upstream = reported;
+        if (!reported.instance().isEmpty()) {
+            knownUpstream = mergeKnown(reported);
+        }
         isAccepting = status.isAccepting();
         rulesVersion = Math.max(rulesVersion, status.rulesVersion());
         load.onReport(status.limit(), status.inFlight(), status.upstreamFailureRatio());
@@ -56,16 +60,16 @@
     }
 
     /** Keeps what an earlier process of the node reported of the same incarnation and the current one may not know. */
-    private PeerStatusMessage.Upstream merge(PeerStatusMessage.Upstream reported) {
-        if (!toIncarnation(reported).matches(toIncarnation(upstream))) {
+    private PeerStatusMessage.Upstream mergeKnown(PeerStatusMessage.Upstream reported) {
+        if (!toIncarnation(reported).matches(toIncarnation(knownUpstream))) {
             return reported;
         }
         return new PeerStatusMessage.Upstream(
                 reported.instance(),
-                Math.max(reported.startedAtMs(), upstream.startedAtMs()),
+                Math.max(reported.startedAtMs(), knownUpstream.startedAtMs()),
                 reported.service(),
-                reported.isLeaving() || upstream.isLeaving(),
-                reported.ratePerS().or(upstream::ratePerS));
+                reported.isLeaving() || knownUpstream.isLeaving(),
+                reported.ratePerS().or(knownUpstream::ratePerS));
     }
 
     private static UpstreamIncarnation toIncarnation(PeerStatusMessage.Upstream reported) {
@@ -74,8 +78,9 @@
 
     /** Returns the upstream if its node must not send it requests, or only at a limited rate. */
     Optional<PeerStatusMessage.Upstream> findBindingUpstream() {
-        boolean isRateLimited = upstream.ratePerS().filter(Double::isFinite).isPresent();
-        return upstream.isLeaving() || isRateLimited ? Optional.of(upstream) : Optional.empty();
+        boolean isRateLimited =
+                knownUpstream.ratePerS().filter(Double::isFinite).isPresent();
+        return knownUpstream.isLeaving() || isRateLimited ? Optional.of(knownUpstream) : Optional.empty();
     }
 
     PeerInfo getInfo() {
