Soak: excuse a node only once its process has ended

The rule excuses what a machine passed on before a restart, so the case is allowed; a request from any other node was never late. The check now excuses a node when its process has ended, and ignores what a response to a request sent before that told.

--- a/app/src/test/java/io/cranberryarch/app/soak/FaultSoakTest.java
+++ b/app/src/test/java/io/cranberryarch/app/soak/FaultSoakTest.java
@@ -115,7 +115,10 @@
                 case 2 -> {
                     excuse(node);
                     node.signal("STOP");
-                    recoverAfter(durationMs, () -> node.signal("CONT"));
+                    recoverAfter(durationMs, () -> {
+                        excuse(node);
+                        node.signal("CONT");
+                    });
                 }
                 case 3 -> node.signal("HUP");
                 case 4 -> setMode(node.getStoreProxy(), durationMs);
@@ -169,8 +172,10 @@
             excuse(node);
             Process stopping = node.signal(signal);
             recoverAfter(durationMs, () -> {
-                excuse(node);
                 node.signal("CONT");
+                // A process that stops gracefully goes on passing on responses.
+                stopping.waitFor();
+                excuse(node);
                 node.restartAfter(stopping);
             });
         }
@@ -214,10 +219,11 @@
             if (isOrder) {
                 request.POST(HttpRequest.BodyPublishers.ofString("one tag"));
             }
+            long sentAtMs = System.currentTimeMillis();
             try {
                 HttpResponse<String> httpResponse = client.send(request.build(), HttpResponse.BodyHandlers.ofString());
                 for (SoakFleet.SoakNode other : fleet.getNodes()) {
-                    other.getUpstream().onPassedOn(node.getName(), httpResponse.headers());
+                    other.getUpstream().onPassedOn(node.getName(), sentAtMs, httpResponse.headers());
                 }
                 return new Response(httpResponse.statusCode(), httpResponse.body());
             } catch (IOException e) {
--- a/app/src/test/java/io/cranberryarch/app/soak/SoakUpstream.java
+++ b/app/src/test/java/io/cranberryarch/app/soak/SoakUpstream.java
@@ -117,12 +117,13 @@
     }
 
     /** Records that a node has passed on a response of this upstream, unless it is of an earlier incarnation. */
-    void onPassedOn(String node, HttpHeaders headers) {
+    void onPassedOn(String node, long sentAtMs, HttpHeaders headers) {
         boolean isCurrent =
                 headers.firstValue(STAMP_HEADER).filter(toInstanceId()::equals).isPresent();
         if (isCurrent) {
             statements.onPassedOn(
                     node,
+                    sentAtMs,
                     headers.firstValue(UpstreamStatements.LIMIT_HEADER).isPresent(),
                     headers.firstValue(UpstreamStatements.LEAVING_HEADER).isPresent());
         }
--- a/app/src/test/java/io/cranberryarch/app/soak/UpstreamStatements.java
+++ b/app/src/test/java/io/cranberryarch/app/soak/UpstreamStatements.java
@@ -33,6 +33,7 @@
     private final Set<String> violations;
     private final Map<String, Long> limitPassedOnAtMs = new HashMap<>();
     private final Map<String, Long> leavePassedOnAtMs = new HashMap<>();
+    private final Map<String, Long> disturbedAtMs = new HashMap<>();
     private final Deque<Long> boundArrivalsAtMs = new ArrayDeque<>();
     private Optional<Double> ratePerS = Optional.empty();
     private long limitNamedAtMs;
@@ -71,9 +72,19 @@
         return isLeaving;
     }
 
-    /** Records that a node has passed on a response, with the headers that it had. */
-    synchronized void onPassedOn(String node, boolean isLimitNamed, boolean isLeaveStated) {
+    /**
+     * Records that a node has passed on a response.
+     *
+     * @param node the name of the node
+     * @param sentAtMs when the request was sent; the process that received it may have been stopped since
+     * @param isLimitNamed whether the response names a limit
+     * @param isLeaveStated whether the response states that the upstream leaves
+     */
+    synchronized void onPassedOn(String node, long sentAtMs, boolean isLimitNamed, boolean isLeaveStated) {
         long nowMs = System.currentTimeMillis();
+        if (sentAtMs <= disturbedAtMs.getOrDefault(node, 0L)) {
+            return;
+        }
         if (isLimitNamed && ratePerS.isPresent()) {
             limitPassedOnAtMs.putIfAbsent(node, nowMs);
         }
@@ -82,8 +93,9 @@
         }
     }
 
-    /** Records that the process of a node is killed or stopped, or that it cannot be reached. */
+    /** Records that the process of a node is stopped, or about to be started again. */
     synchronized void onNodeDisturbed(String node) {
+        disturbedAtMs.put(node, System.currentTimeMillis());
         limitPassedOnAtMs.remove(node);
         leavePassedOnAtMs.remove(node);
     }
