--- a/app/src/test/java/io/cranberryarch/app/soak/FaultSoakTest.java
+++ b/app/src/test/java/io/cranberryarch/app/soak/FaultSoakTest.java
@@ -244,7 +244,9 @@
                 Response response = send(client, node, id, false, SoakFleet.KEY);
                 while (response.status() != 200) {
                     if (System.currentTimeMillis() > endMs) {
-                        throw new AssertionError("seed " + seed + ": service did not recover, last " + response);
+                        throw new AssertionError("seed " + seed + ": service of " + node.getName()
+                                + " did not recover, last " + response + ", process " + node.getProcessState()
+                                + ", violations " + fleet.getViolations());
                     }
                     Thread.sleep(50);
                     response = send(client, node, "probe-" + nextId.incrementAndGet(), false, SoakFleet.KEY);
--- a/app/src/test/java/io/cranberryarch/app/soak/SoakFleet.java
+++ b/app/src/test/java/io/cranberryarch/app/soak/SoakFleet.java
@@ -174,6 +174,11 @@
             }
         }
 
+        /** Returns whether the process of the node runs, or its exit code. */
+        String getProcessState() {
+            return process.isAlive() ? "alive" : "exit code " + process.exitValue();
+        }
+
         URI toEntry(String path) {
             return URI.create("http://" + host + ":" + ENTRY_PORT + path);
         }
