Give the unknown upstream and the look-up of its rate limit one place

Read as a newcomer would: the record of an upstream that is not known stood in three places, and the rule that an infinite rate is no limit in two. No behaviour changes.

--- a/mesh/src/main/java/io/cranberryarch/mesh/Peer.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/Peer.java
@@ -14,9 +14,8 @@
     private PeerInfo info;
     private InstanceLoad load = new InstanceLoad();
     private Optional<PeerLink> link = Optional.empty();
-    private PeerStatusMessage.Upstream upstream =
-            new PeerStatusMessage.Upstream("", UpstreamIncarnation.UNKNOWN_START_MS, "", false, Optional.empty());
-    private PeerStatusMessage.Upstream knownUpstream = upstream;
+    private PeerStatusMessage.Upstream upstream = PeerStatusMessage.Upstream.UNKNOWN;
+    private PeerStatusMessage.Upstream knownUpstream = PeerStatusMessage.Upstream.UNKNOWN;
     private boolean isAccepting;
     private long rulesVersion = -1;
     private final Map<String, Double> workDemand = new HashMap<>();
@@ -78,9 +77,9 @@
 
     /** Returns the upstream if its node must not send it requests, or only at a limited rate. */
     Optional<PeerStatusMessage.Upstream> findBindingUpstream() {
-        boolean isRateLimited =
-                knownUpstream.ratePerS().filter(Double::isFinite).isPresent();
-        return knownUpstream.isLeaving() || isRateLimited ? Optional.of(knownUpstream) : Optional.empty();
+        boolean isBound =
+                knownUpstream.isLeaving() || knownUpstream.findRateLimitPerS().isPresent();
+        return isBound ? Optional.of(knownUpstream) : Optional.empty();
     }
 
     PeerInfo getInfo() {
--- a/mesh/src/main/java/io/cranberryarch/mesh/PeerService.java
+++ b/mesh/src/main/java/io/cranberryarch/mesh/PeerService.java
@@ -76,8 +76,7 @@
     private final Set<PeerInfo> ignoredPeers = new HashSet<>();
     private TcpListener listener;
     private PeerInfo self;
-    private PeerStatusMessage.Upstream announcedUpstream =
-            new PeerStatusMessage.Upstream("", 0, "", false, Optional.empty());
+    private PeerStatusMessage.Upstream announcedUpstream = PeerStatusMessage.Upstream.UNKNOWN;
     private long upstreamChangedAtMs;
     private long lastStatusAtMs;
     private long lastPeersRequestAtMs = Long.MIN_VALUE;
@@ -329,7 +328,7 @@
         if (known.isLeaving()) {
             reports.restoreLeave(incarnation);
         }
-        known.ratePerS().filter(Double::isFinite).ifPresent(ratePerS -> rateLimit.restore(incarnation, ratePerS));
+        known.findRateLimitPerS().ifPresent(ratePerS -> rateLimit.restore(incarnation, ratePerS));
     }
 
     private PeerStatusMessage toCompleteStatus() {
--- a/mesh/src/test/java/io/cranberryarch/mesh/PeerTest.java
+++ b/mesh/src/test/java/io/cranberryarch/mesh/PeerTest.java
@@ -14,7 +14,6 @@
 
     private static final Upstream LIMITED = new Upstream("i-1", 5, "stock", false, Optional.of(8.0));
     private static final Upstream LEAVING = new Upstream("i-1", 5, "stock", true, Optional.empty());
-    private static final Upstream UNKNOWN = new Upstream("", 0, "", false, Optional.empty());
 
     private final Peer peer = new Peer(new PeerInfo("node-a", "zone-a", "127.0.0.1:7000"));
 
@@ -25,11 +24,11 @@
     @Test
     void processThatDoesNotKnowItsUpstreamDoesNotReplaceWhatIsKnown() {
         report(LIMITED);
-        report(UNKNOWN);
+        report(Upstream.UNKNOWN);
         assertEquals(Optional.of(LIMITED), peer.findBindingUpstream());
         assertEquals("", peer.getService());
         report(LEAVING);
-        report(UNKNOWN);
+        report(Upstream.UNKNOWN);
         assertTrue(peer.findBindingUpstream().orElseThrow().isLeaving());
     }
 
--- a/wire/src/main/java/io/cranberryarch/wire/PeerStatusMessage.java
+++ b/wire/src/main/java/io/cranberryarch/wire/PeerStatusMessage.java
@@ -105,6 +105,18 @@
         /** The rate limit of an upstream that names none. */
         public static final double NO_RATE_LIMIT = Double.POSITIVE_INFINITY;
 
+        /** Stands for the upstream of a node that has received no report of it. */
+        public static final Upstream UNKNOWN = new Upstream("", 0, "", false, Optional.empty());
+
+        /**
+         * Finds the rate limit that the upstream has named.
+         *
+         * @return the limit in requests a second, or empty if it names none or has not responded yet
+         */
+        public Optional<Double> findRateLimitPerS() {
+            return ratePerS.filter(Double::isFinite);
+        }
+
         static Upstream read(MessageUnpacker in) throws IOException {
             return new Upstream(
                     in.unpackString(),
