--- a/review/standins-2/Fleet.java
+++ b/review/standins-2/Fleet.java
@@ -13,6 +13,10 @@
 
     static final String HOST = "shop.example";
     static final String KEY = "key-of-acme";
+
+    /** The key of a tenant with a quota of 5 requests a second. */
+    static final String LIMITED_KEY = "key-of-busy";
+
     private static final long START_TIMEOUT_MS = 30_000;
 
     final Recorder record;
@@ -36,7 +40,8 @@
                 + "\"rows\":[[\"orders\",\"/health\",748,\"h1\",false]]},"
                 + "\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":67108864,\"headerTimeoutS\":3,"
                 + "\"idleTimeoutS\":15},\"tenants\":{\"columns\":[\"name\",\"apiKeys\",\"priority\",\"ratePerS\","
-                + "\"burst\"],\"rows\":[[\"acme\",[\"" + KEY + "\"],1,0,0]]},\"baseVersion\":\"r5\"}");
+                + "\"burst\"],\"rows\":[[\"acme\",[\"" + KEY + "\"],1,0,0],"
+                + "[\"busy\",[\"" + LIMITED_KEY + "\"],1,5,5]]},\"baseVersion\":\"r5\"}");
         for (int i = 0; i < size; i++) {
             machines.add(new Machine(
                     record, folder, "side-" + (i + 1), net + (i + 1), "zone-" + i % 2, "orders", store.address(), runs, work));
@@ -63,8 +68,12 @@
     }
 
     static byte[] toRequest(String method, String path, String id, long deadlineMs, byte[] body) {
+        return toRequest(KEY, method, path, id, deadlineMs, body);
+    }
+
+    static byte[] toRequest(String key, String method, String path, String id, long deadlineMs, byte[] body) {
         String head = method + " " + path + " HTTP/1.1\r\nHost: " + HOST + "\r\nX-Cranberryarch-Attempt-Id: " + id
-                + "\r\nX-Cranberryarch-Deadline-Ms: " + deadlineMs + "\r\nAuthorization: Bearer " + KEY + "\r\n"
+                + "\r\nX-Cranberryarch-Deadline-Ms: " + deadlineMs + "\r\nAuthorization: Bearer " + key + "\r\n"
                 + (method.equals("POST") ? "Content-Length: " + body.length + "\r\n" : "") + "\r\n";
         byte[] headBytes = head.getBytes(StandardCharsets.US_ASCII);
         byte[] message = new byte[headBytes.length + body.length];
--- a/review/standins-2/Machine.java
+++ b/review/standins-2/Machine.java
@@ -1,5 +1,6 @@
 import java.io.BufferedInputStream;
 import java.io.File;
+import java.io.FileOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
@@ -47,6 +48,7 @@
     private long sequence;
     private volatile boolean isClosed;
     private volatile Process process;
+    private volatile boolean isLogReaderStalled;
 
     /** @param runs receives the name of this machine for each request that its server begins to run */
     Machine(
@@ -141,13 +143,56 @@
         }
         File log = folder.resolve(name + ".log").toFile();
         ProcessBuilder builder = new ProcessBuilder(run.group(1).split(" "))
-                .redirectErrorStream(true)
-                .redirectOutput(ProcessBuilder.Redirect.appendTo(log));
+                .redirectErrorStream(true);
         builder.environment().put("CRANBERRYARCH_CONFIG", file.toString());
-        process = builder.start();
+        Process started = builder.start();
+        process = started;
+        spawn("log of " + name, () -> copyLog(started.getInputStream(), log));
         record.add("node " + name + " started");
     }
 
+    /** Stops or resumes reading the node's output. */
+    void stallLogReader(boolean isStalled) {
+        isLogReaderStalled = isStalled;
+    }
+
+    private void copyLog(InputStream output, File log) {
+        byte[] piece = new byte[4_096];
+        try (FileOutputStream copy = new FileOutputStream(log, true)) {
+            while (true) {
+                if (isLogReaderStalled) {
+                    Thread.sleep(20);
+                    continue;
+                }
+                int count = output.read(piece);
+                if (count < 0) {
+                    return;
+                }
+                copy.write(piece, 0, count);
+            }
+        } catch (IOException e) {
+            // The process was ended.
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Sends bytes as a heartbeat to the control address, as another writer might. */
+    void sendHeartbeat(byte[] body) {
+        try (Socket socket = new Socket()) {
+            socket.connect(new InetSocketAddress(ip, controlPort), 1_000);
+            socket.setSoTimeout(1_000);
+            String head = "POST /instances/" + instance + "/heartbeat HTTP/1.1\r\nHost: " + ip
+                    + "\r\nContent-Type: application/json\r\nConnection: close\r\nContent-Length: " + body.length
+                    + "\r\n\r\n";
+            socket.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+            socket.getOutputStream().write(body);
+            Http.readResponse(new BufferedInputStream(socket.getInputStream()));
+        } catch (IOException e) {
+            // The node is down or hangs; the next heartbeat holds the whole state.
+        }
+    }
+
     Process process() {
         return process;
     }
@@ -185,17 +230,7 @@
             String body = "{\"born\":" + bornMs + ",\"address\":\"" + ip + ":" + server.getLocalPort()
                     + "\",\"info\":{\"service\":\"" + service + "\",\"version\":\"v1\",\"zone\":\"z\",\"slots\":108},"
                     + "\"status\":{\"state\":\"ready\",\"seq\":" + sequence + ",\"coldLeftS\":0}}";
-            try (Socket socket = new Socket()) {
-                socket.connect(new InetSocketAddress(ip, controlPort), 1_000);
-                socket.setSoTimeout(1_000);
-                String head = "POST /instances/" + instance + "/heartbeat HTTP/1.1\r\nHost: " + ip
-                        + "\r\nContent-Type: application/json\r\nConnection: close\r\nContent-Length: " + body.length()
-                        + "\r\n\r\n";
-                socket.getOutputStream().write((head + body).getBytes(StandardCharsets.US_ASCII));
-                Http.readResponse(new BufferedInputStream(socket.getInputStream()));
-            } catch (IOException e) {
-                // The node is down; the next heartbeat holds the whole state.
-            }
+            sendHeartbeat(body.getBytes(StandardCharsets.US_ASCII));
             try {
                 Thread.sleep(1_500);
             } catch (InterruptedException e) {
