--- a/review/standins-2/Fleet.java
+++ b/review/standins-2/Fleet.java
@@ -8,7 +8,10 @@
 import java.util.Map;
 import java.util.stream.Stream;
 
-/** A small deployment: some machines of one service in two zones, and the store with a configuration. */
+/**
+ * A small deployment: some machines of one service in two zones, at times one of another service, and the store with a
+ * configuration.
+ */
 final class Fleet implements AutoCloseable {
 
     static final String HOST = "shop.example";
@@ -24,20 +27,22 @@
     final List<Machine> machines = new ArrayList<>();
     final Map<String, String> runs = Machine.newRuns();
     private final Path folder;
+    private final String net;
 
     /** @param timeoutS the timeoutS of both routes */
     Fleet(Recorder record, int size, double timeoutS, Machine.Work work) throws IOException {
         this.record = record;
         folder = Files.createTempDirectory("review-2-");
         long pid = ProcessHandle.current().pid();
-        String net = "127." + (20 + pid % 200) + "." + pid / 200 % 250 + ".";
+        net = "127." + (20 + pid % 200) + "." + pid / 200 % 250 + ".";
         store = new Store(net + "250");
         store.putConfig("{\"version\":\"r7\",\"routes\":{\"columns\":[\"name\",\"host\",\"prefix\",\"kind\",\"timeoutS\","
                 + "\"targetLatencyS\",\"priority\",\"maxAttempts\",\"public\",\"service\"],\"rows\":["
                 + "[\"order\",\"" + HOST + "\",\"/order/\",\"non_idempotent\"," + timeoutS + ",1.5,0,2,false,\"orders\"],"
+                + "[\"upload\",\"" + HOST + "\",\"/upload/\",\"non_idempotent\",10,1.5,0,2,false,\"archive\"],"
                 + "[\"read\",\"" + HOST + "\",\"/read/\",\"idempotent\"," + timeoutS + ",1.5,1,2,false,\"orders\"]]},"
                 + "\"services\":{\"columns\":[\"name\",\"healthPath\",\"maxConnections\",\"protocol\",\"tls\"],"
-                + "\"rows\":[[\"orders\",\"/health\",748,\"h1\",false]]},"
+                + "\"rows\":[[\"orders\",\"/health\",748,\"h1\",false],[\"archive\",\"/health\",748,\"h1\",false]]},"
                 + "\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":67108864,\"headerTimeoutS\":3,"
                 + "\"idleTimeoutS\":15},\"tenants\":{\"columns\":[\"name\",\"apiKeys\",\"priority\",\"ratePerS\","
                 + "\"burst\"],\"rows\":[[\"acme\",[\"" + KEY + "\"],1,0,0],"
@@ -48,6 +53,14 @@
         }
     }
 
+    /** Adds a machine of the service "archive", before the start. */
+    Machine addArchive(Machine.Work work) throws IOException {
+        Machine machine = new Machine(
+                record, folder, "side-archive", net + "200", "zone-0", "archive", store.address(), runs, work);
+        machines.add(machine);
+        return machine;
+    }
+
     /** Starts all nodes and waits until all of them are ready and know each other. */
     void start() throws IOException, InterruptedException {
         for (Machine machine : machines) {
--- a/review/standins-2/Machine.java
+++ b/review/standins-2/Machine.java
@@ -29,6 +29,8 @@
     }
 
     private static final Pattern PLACEHOLDER = Pattern.compile("\\{\\{([^}]+)\\}\\}");
+    private static final int RECEIVE_BUFFER_BYTES = 64 * 1024;
+    private static final int SLOW_PIECE_BYTES = 8 * 1024;
     private static final Pattern RUN = Pattern.compile("(?m)^run = \"(.*)\"$");
 
     final String name;
@@ -49,6 +51,7 @@
     private volatile boolean isClosed;
     private volatile Process process;
     private volatile boolean isLogReaderStalled;
+    private volatile int readBytesPerS;
 
     /** @param runs receives the name of this machine for each request that its server begins to run */
     Machine(
@@ -71,6 +74,7 @@
         this.runs = runs;
         this.work = work;
         server = new ServerSocket();
+        server.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
         server.bind(new InetSocketAddress(ip, 0), 500);
         List<Integer> ports = findFreePorts(ip, 6);
         entryPort = ports.get(1);
@@ -156,6 +160,29 @@
         isLogReaderStalled = isStalled;
     }
 
+    /** Makes the server read bodies slowly from now on. */
+    void readSlowly(int bytesPerS) {
+        readBytesPerS = bytesPerS;
+    }
+
+    private byte[] readBody(InputStream in, int length) throws IOException, InterruptedException {
+        int bytesPerS = readBytesPerS;
+        if (bytesPerS == 0) {
+            return in.readNBytes(length);
+        }
+        byte[] body = new byte[length];
+        int total = 0;
+        while (total < length) {
+            int count = in.read(body, total, Math.min(SLOW_PIECE_BYTES, length - total));
+            if (count < 0) {
+                return new byte[0];
+            }
+            total += count;
+            Thread.sleep(count * 1_000L / bytesPerS);
+        }
+        return body;
+    }
+
     private void copyLog(InputStream output, File log) {
         byte[] piece = new byte[4_096];
         try (FileOutputStream copy = new FileOutputStream(log, true)) {
@@ -256,7 +283,7 @@
             socket.setTcpNoDelay(true);
             InputStream in = new BufferedInputStream(socket.getInputStream());
             for (Http.Head head = Http.readHead(in); head != null; head = Http.readHead(in)) {
-                byte[] body = in.readNBytes(head.length());
+                byte[] body = readBody(in, head.length());
                 if (body.length < head.length()) {
                     return;
                 }
